--- /dev/null
+++ b/src/bin/rhubarbthread.rs
@@ -0,0 +1,9 @@
+//! The operators' tool.
+
+use std::process::exit;
+
+use rhubarbthread::process::operator;
+
+fn main() {
+    exit(operator::main());
+}
--- /dev/null
+++ b/src/caller/flow.rs
@@ -0,0 +1,142 @@
+//! One HTTP/3 flow of a caller.
+
+use std::future::poll_fn;
+use std::sync::Arc;
+
+use bytes::Buf;
+use bytes::Bytes;
+use h3::client::SendRequest;
+use h3::error::Code;
+use h3::error::StreamError;
+use h3_quinn::OpenStreams;
+use http::Request;
+use quinn::Connection;
+use quinn::ConnectionError;
+use quinn::ConnectionId;
+use quinn::Endpoint;
+use quinn::VarInt;
+
+use crate::caller::AnswerHead;
+use crate::caller::CallerSettings;
+use crate::caller::Failure;
+use crate::connection::tag::TAG_BYTES;
+use crate::process::agent::CLOSE_ZONE_OUT;
+use crate::request::verdict::Refusal;
+use crate::request::verdict::Verdict;
+
+/// A request and its answer.
+pub type RequestStream = h3::client::RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+/// An open flow.
+#[derive(Clone)]
+pub struct Flow {
+    connection: Connection,
+    sender: SendRequest<OpenStreams, Bytes>,
+}
+
+impl Flow {
+    /// Opens a flow, at the agent that `tag` names where there is one.
+    pub async fn open(
+        endpoint: &Endpoint,
+        settings: &CallerSettings,
+        tag: Option<[u8; TAG_BYTES]>,
+    ) -> Result<Flow, Failure> {
+        let mut client = settings.client.clone();
+        if let Some(tag) = tag {
+            client.initial_dst_cid_provider(Arc::new(move || ConnectionId::new(&tag)));
+        }
+        let connecting = endpoint
+            .connect_with(client, settings.service, &settings.server_name)
+            .map_err(|error| not_run(&error.to_string()))?;
+        let connection = connecting.await.map_err(|error| not_run(&connect_reason(&error)))?;
+        let quic = h3_quinn::Connection::new(connection.clone());
+        let (mut driver, sender) =
+            h3::client::new(quic).await.map_err(|error| not_run(&error.to_string()))?;
+        tokio::spawn(async move {
+            // Each request learns the error by itself.
+            let _ = poll_fn(|cx| driver.poll_close(cx)).await;
+        });
+        Ok(Flow { connection, sender })
+    }
+
+    /// Whether the flow can take requests.
+    pub fn is_open(&self) -> bool {
+        self.connection.close_reason().is_none()
+    }
+
+    /// Names the reason with which the agent closed the flow, where it did.
+    pub fn explain(&self, failure: Failure) -> Failure {
+        match self.connection.close_reason() {
+            Some(ConnectionError::ApplicationClosed(close))
+                if close.error_code == VarInt::from_u32(CLOSE_ZONE_OUT) =>
+            {
+                Failure::new(failure.verdict, Refusal::ZoneOut.as_str())
+            }
+            _ => failure,
+        }
+    }
+
+    /// Closes the flow.
+    pub fn close(&self) {
+        self.connection.close(0_u32.into(), b"done");
+    }
+
+    /// Sends a request whole.
+    pub async fn send(
+        &mut self,
+        request: Request<()>,
+        body: Bytes,
+    ) -> Result<RequestStream, Failure> {
+        // Where this fails no header was sent.
+        let mut stream = self
+            .sender
+            .send_request(request)
+            .await
+            .map_err(|error| not_run(&format!("flow closed: {error}")))?;
+        if !body.is_empty() {
+            stream.send_data(body).await.map_err(|error| stream_failure(&error))?;
+        }
+        stream.finish().await.map_err(|error| stream_failure(&error))?;
+        Ok(stream)
+    }
+}
+
+/// Reads status and headers.
+pub async fn read_head(stream: &mut RequestStream) -> Result<AnswerHead, Failure> {
+    let response = stream.recv_response().await.map_err(|error| stream_failure(&error))?;
+    let (head, ()) = response.into_parts();
+    Ok(AnswerHead { status: head.status, headers: head.headers })
+}
+
+/// Reads the next part of the body; `None` at its whole end.
+pub async fn read_data(stream: &mut RequestStream) -> Result<Option<Bytes>, Failure> {
+    let data = stream.recv_data().await.map_err(|error| stream_failure(&error))?;
+    Ok(data.map(|mut data| data.copy_to_bytes(data.remaining())))
+}
+
+fn not_run(reason: &str) -> Failure {
+    Failure::new(Verdict::NotRun, reason)
+}
+
+/// A request that the other side rejected unseen did not run (RFC 9114, section 4.1.1).
+fn stream_failure(error: &StreamError) -> Failure {
+    let verdict = match error {
+        StreamError::RemoteTerminate { code, .. } if *code == Code::H3_REQUEST_REJECTED => {
+            Verdict::NotRun
+        }
+        _ => Verdict::MayHaveRun,
+    };
+    Failure::new(verdict, &format!("flow broken: {error}"))
+}
+
+fn connect_reason(error: &ConnectionError) -> String {
+    match error {
+        ConnectionError::TimedOut => "flow-timeout".to_owned(),
+        ConnectionError::ConnectionClosed(close) if is_refused(close) => "flow-refused".to_owned(),
+        other => other.to_string(),
+    }
+}
+
+fn is_refused(close: &quinn::ConnectionClose) -> bool {
+    close.error_code == quinn::TransportErrorCode::CONNECTION_REFUSED
+}
--- /dev/null
+++ b/src/connection/datagram.rs
@@ -0,0 +1,63 @@
+//! The parts of a QUIC datagram that can be read without keys (RFC 8999, RFC 9000 section 17).
+
+use crate::connection::tag::TAG_BYTES;
+
+/// Smallest datagram that may open a flow, in bytes (RFC 9000, section 14.1).
+pub const MIN_OPENING_BYTES: usize = 1200;
+
+/// Shortest connection id that a caller may choose, in bytes (RFC 9000, section 7.2).
+const MIN_CHOSEN_ID_BYTES: usize = 8;
+
+const LONG_FORM_BIT: u8 = 0x80;
+const FIXED_BIT: u8 = 0x40;
+
+/// What the head of a datagram shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Head<'a> {
+    /// A long header: handshake packets, and those with an id that the caller chose.
+    Long {
+        /// Destination connection id.
+        connection_id: &'a [u8],
+    },
+    /// A short header: packets of an established flow, with an id that an agent chose.
+    Short {
+        /// Destination connection id.
+        connection_id: &'a [u8],
+    },
+}
+
+/// Why a datagram is not QUIC.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeadFault {
+    /// Ends before the connection id does.
+    Short,
+    /// The fixed bit is clear or the id has a length that QUIC forbids.
+    Malformed,
+}
+
+/// Reads the head of a datagram.
+pub fn parse_head(datagram: &[u8]) -> Result<Head<'_>, HeadFault> {
+    let first = *datagram.first().ok_or(HeadFault::Short)?;
+    if first & LONG_FORM_BIT == 0 {
+        return parse_short(first, datagram);
+    }
+    let length = usize::from(*datagram.get(5).ok_or(HeadFault::Short)?);
+    if length > TAG_BYTES {
+        return Err(HeadFault::Malformed);
+    }
+    let connection_id = datagram.get(6..6 + length).ok_or(HeadFault::Short)?;
+    Ok(Head::Long { connection_id })
+}
+
+/// Whether a datagram with this id and length may open a flow.
+pub fn may_open(connection_id: &[u8], datagram_bytes: usize) -> bool {
+    connection_id.len() >= MIN_CHOSEN_ID_BYTES && datagram_bytes >= MIN_OPENING_BYTES
+}
+
+fn parse_short(first: u8, datagram: &[u8]) -> Result<Head<'_>, HeadFault> {
+    if first & FIXED_BIT == 0 {
+        return Err(HeadFault::Malformed);
+    }
+    let connection_id = datagram.get(1..=TAG_BYTES).ok_or(HeadFault::Short)?;
+    Ok(Head::Short { connection_id })
+}
--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,6 @@
+//! What lives as long as one connection. No I/O, no clock, no task.
+
+pub mod datagram;
+pub mod envelope;
+pub mod openings;
+pub mod tag;
--- /dev/null
+++ b/src/connection/tag.rs
@@ -0,0 +1,119 @@
+//! Flow tags: connection ids that name the agent which ends the flow.
+//!
+//! Layout of the 20 bytes: key id (1), one AES-128 block (16), MAC (3). The block holds the agent's
+//! IPv4 address (4) and port (2), the fingerprint of its incarnation (2), the service number (2),
+//! the fingerprint of its availability zone (2) and a nonce (4). Ids of one incarnation never
+//! repeat while the nonce counts. The MAC is the start of a second AES block over the first.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use aes::Aes128;
+use aes::Block;
+use aes::cipher::BlockDecrypt;
+use aes::cipher::BlockEncrypt;
+use aes::cipher::KeyInit;
+
+/// Length of a flow tag, the longest connection id of QUIC version 1 (RFC 9000, section 17.2).
+pub const TAG_BYTES: usize = 20;
+
+const BLOCK_BYTES: usize = 16;
+
+/// What a flow tag says.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Tag {
+    /// Data address of the agent.
+    pub agent: SocketAddrV4,
+    /// Fingerprint of the agent's incarnation.
+    pub incarnation: u16,
+    /// Number of the service.
+    pub service: u16,
+    /// Fingerprint of the agent's availability zone.
+    pub zone: u16,
+    /// Count of tags within the incarnation.
+    pub nonce: u32,
+}
+
+/// One key for flow tags.
+#[derive(Clone)]
+pub struct TagKey {
+    id: u8,
+    block: Aes128,
+    mac: Aes128,
+}
+
+impl TagKey {
+    /// Creates a key from its id and 32 secret bytes: 16 for the block, 16 for the MAC.
+    pub fn new(id: u8, secret: &[u8; 32]) -> TagKey {
+        let (block, mac) = secret.split_at(BLOCK_BYTES);
+        let block = Aes128::new_from_slice(block).expect("half a secret is an AES key");
+        let mac = Aes128::new_from_slice(mac).expect("half a secret is an AES key");
+        TagKey { id, block, mac }
+    }
+}
+
+/// Keys that are valid now; the first one seals.
+#[derive(Clone)]
+pub struct TagKeys {
+    keys: Vec<TagKey>,
+}
+
+impl TagKeys {
+    /// Creates the set. `keys` holds the sealing key first and must not be empty.
+    pub fn new(keys: Vec<TagKey>) -> TagKeys {
+        assert!(!keys.is_empty(), "a key set needs a key");
+        TagKeys { keys }
+    }
+
+    /// Returns the connection id for a tag.
+    pub fn seal(&self, tag: &Tag) -> [u8; TAG_BYTES] {
+        let key = &self.keys[0];
+        let mut block = Block::from(plain(tag));
+        key.block.encrypt_block(&mut block);
+        let mut bytes = [0; TAG_BYTES];
+        bytes[0] = key.id;
+        bytes[1..=BLOCK_BYTES].copy_from_slice(&block);
+        bytes[BLOCK_BYTES + 1..].copy_from_slice(&mac(key, block));
+        bytes
+    }
+
+    /// Reads a connection id; `None` where it is not a tag under a valid key.
+    pub fn open(&self, connection_id: &[u8]) -> Option<Tag> {
+        let bytes: &[u8; TAG_BYTES] = connection_id.try_into().ok()?;
+        let key = self.keys.iter().find(|key| key.id == bytes[0])?;
+        let mut block = *Block::from_slice(&bytes[1..=BLOCK_BYTES]);
+        if bytes[BLOCK_BYTES + 1..] != mac(key, block) {
+            return None;
+        }
+        key.block.decrypt_block(&mut block);
+        Some(parse(&block))
+    }
+}
+
+fn mac(key: &TagKey, mut block: Block) -> [u8; 3] {
+    key.mac.encrypt_block(&mut block);
+    [block[0], block[1], block[2]]
+}
+
+fn plain(tag: &Tag) -> [u8; BLOCK_BYTES] {
+    let mut bytes = [0; BLOCK_BYTES];
+    bytes[0..4].copy_from_slice(&tag.agent.ip().octets());
+    bytes[4..6].copy_from_slice(&tag.agent.port().to_be_bytes());
+    bytes[6..8].copy_from_slice(&tag.incarnation.to_be_bytes());
+    bytes[8..10].copy_from_slice(&tag.service.to_be_bytes());
+    bytes[10..12].copy_from_slice(&tag.zone.to_be_bytes());
+    bytes[12..16].copy_from_slice(&tag.nonce.to_be_bytes());
+    bytes
+}
+
+fn parse(bytes: &[u8]) -> Tag {
+    let word = |at: usize| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
+    let ip = Ipv4Addr::new(bytes[0], bytes[1], bytes[2], bytes[3]);
+    Tag {
+        agent: SocketAddrV4::new(ip, word(4)),
+        incarnation: word(6),
+        service: word(8),
+        zone: word(10),
+        nonce: u32::from_be_bytes([bytes[12], bytes[13], bytes[14], bytes[15]]),
+    }
+}
--- /dev/null
+++ b/src/process/agent_socket.rs
@@ -0,0 +1,298 @@
+//! The socket under an agent's QUIC endpoint: unwraps envelopes, checks the service, decides on
+//! openings, and wraps answers for the fabric.
+
+use std::fmt;
+use std::io;
+use std::io::IoSliceMut;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use quinn::AsyncUdpSocket;
+use quinn::ConnectionId;
+use quinn::ConnectionIdGenerator;
+use quinn::UdpPoller;
+use quinn::udp::RecvMeta;
+use quinn::udp::Transmit;
+use tokio::io::ReadBuf;
+use tokio::net::UdpSocket;
+
+use crate::connection::datagram;
+use crate::connection::datagram::Head;
+use crate::connection::envelope;
+use crate::connection::envelope::Route;
+use crate::connection::openings::OpeningDecision;
+use crate::connection::openings::OpeningKey;
+use crate::connection::tag::TAG_BYTES;
+use crate::connection::tag::Tag;
+use crate::process::agent::AgentShared;
+use crate::process::agent_state::Decision;
+use crate::process::agent_state::Input;
+use crate::process::metrics::count;
+use crate::version::hash::incarnation_fingerprint;
+
+/// Largest datagram that is received, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 4_096;
+
+/// Largest payload that is wrapped, in bytes.
+const TYPICAL_ENVELOPE_BYTES: usize = 2_048;
+
+/// Why an agent dropped a datagram.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AgentDrop {
+    /// The envelope does not parse.
+    BadEnvelope,
+    /// The destination is not the address of this agent's service.
+    OtherService,
+    /// The datagram is not QUIC, or neither tagged nor an opening.
+    NotQuic,
+    /// The tag is of another agent.
+    OtherAgent,
+    /// The availability zone is out.
+    ZoneOut,
+    /// No target has announced itself.
+    NoTarget,
+}
+
+impl AgentDrop {
+    /// All reasons, for docs.
+    pub const ALL: [AgentDrop; 6] = [
+        AgentDrop::BadEnvelope,
+        AgentDrop::OtherService,
+        AgentDrop::NotQuic,
+        AgentDrop::OtherAgent,
+        AgentDrop::ZoneOut,
+        AgentDrop::NoTarget,
+    ];
+
+    /// Label in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AgentDrop::BadEnvelope => "bad-envelope",
+            AgentDrop::OtherService => "other-service",
+            AgentDrop::NotQuic => "not-quic",
+            AgentDrop::OtherAgent => "other-agent",
+            AgentDrop::ZoneOut => "zone-out",
+            AgentDrop::NoTarget => "no-target",
+        }
+    }
+}
+
+enum Verdict {
+    Deliver,
+    PassOn(SocketAddr),
+    Drop(AgentDrop),
+}
+
+/// The wrapped socket.
+pub struct AgentSocket {
+    socket: UdpSocket,
+    fabric: SocketAddr,
+    shared: Arc<AgentShared>,
+}
+
+impl AgentSocket {
+    /// Wraps a socket.
+    pub fn new(socket: UdpSocket, fabric: SocketAddr, shared: Arc<AgentShared>) -> AgentSocket {
+        AgentSocket { socket, fabric, shared }
+    }
+
+    fn decide(&self, route: &Route, datagram: &[u8]) -> Verdict {
+        let Some(binding) = self.shared.binding() else {
+            return Verdict::Drop(AgentDrop::NoTarget);
+        };
+        if route.destination != binding.service_address {
+            return Verdict::Drop(AgentDrop::OtherService);
+        }
+        if self.shared.is_zone_closed() {
+            return Verdict::Drop(AgentDrop::ZoneOut);
+        }
+        let (connection_id, is_long) = match datagram::parse_head(datagram) {
+            Ok(Head::Long { connection_id }) => (connection_id, true),
+            Ok(Head::Short { connection_id }) => (connection_id, false),
+            Err(_) => return Verdict::Drop(AgentDrop::NotQuic),
+        };
+        match self.shared.keys().tag_keys.open(connection_id) {
+            Some(tag) => self.decide_tagged(&tag, binding.service_number),
+            None if is_long => self.decide_opening(route, connection_id, datagram.len()),
+            None => Verdict::Drop(AgentDrop::NotQuic),
+        }
+    }
+
+    /// A tag of an older incarnation is delivered too: QUIC answers it with a stateless reset.
+    fn decide_tagged(&self, tag: &Tag, service_number: u16) -> Verdict {
+        if tag.service != service_number {
+            return Verdict::Drop(AgentDrop::OtherService);
+        }
+        if tag.agent != self.shared.data_address() {
+            return Verdict::Drop(AgentDrop::OtherAgent);
+        }
+        Verdict::Deliver
+    }
+
+    fn decide_opening(&self, route: &Route, connection_id: &[u8], bytes: usize) -> Verdict {
+        if !datagram::may_open(connection_id, bytes) {
+            return Verdict::Drop(AgentDrop::NotQuic);
+        }
+        if self.shared.is_zone_out() && route.position + 1 >= route.chain.len() {
+            return Verdict::Drop(AgentDrop::ZoneOut);
+        }
+        let key = OpeningKey { caller: route.source, connection_id: connection_id.to_vec() };
+        let input =
+            Input::Opening { key, position: route.position, chain_length: route.chain.len() };
+        let Decision::Opening(decision) = self.shared.apply(&input) else {
+            return Verdict::Drop(AgentDrop::NotQuic);
+        };
+        let openings = &self.shared.metrics().openings;
+        match decision {
+            OpeningDecision::PassOn => {
+                count(openings, "passed-on");
+                Verdict::PassOn(SocketAddr::V4(route.chain[route.position + 1]))
+            }
+            OpeningDecision::Accept => {
+                count(openings, "accepted");
+                Verdict::Deliver
+            }
+            OpeningDecision::Refuse(_) => {
+                count(openings, "refused");
+                Verdict::Deliver
+            }
+        }
+    }
+
+    fn pass_on(&self, mut route: Route, datagram: &[u8], next: SocketAddr) {
+        route.position += 1;
+        let mut bytes = Vec::with_capacity(TYPICAL_ENVELOPE_BYTES);
+        envelope::encode(&route, datagram, &mut bytes);
+        // A full socket buffer loses the datagram like any other hop; the caller sends it again.
+        let _ = self.socket.try_send_to(&bytes, next);
+    }
+
+    /// Handles one envelope; returns the caller and the datagram where it is for the endpoint.
+    fn take<'b>(&self, bytes: &'b [u8]) -> Option<(SocketAddr, &'b [u8])> {
+        let Ok((route, datagram)) = envelope::decode(bytes) else {
+            count(&self.shared.metrics().dropped, AgentDrop::BadEnvelope.as_str());
+            return None;
+        };
+        match self.decide(&route, datagram) {
+            Verdict::Deliver => Some((route.source, datagram)),
+            Verdict::PassOn(next) => {
+                self.pass_on(route, datagram, next);
+                None
+            }
+            Verdict::Drop(reason) => {
+                count(&self.shared.metrics().dropped, reason.as_str());
+                None
+            }
+        }
+    }
+}
+
+impl fmt::Debug for AgentSocket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AgentSocket").field("fabric", &self.fabric).finish_non_exhaustive()
+    }
+}
+
+impl AsyncUdpSocket for AgentSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(WritePoller { socket: self })
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let Some(binding) = self.shared.last_binding() else {
+            return Ok(());
+        };
+        let route = Route::new(binding.service_address, transmit.destination);
+        let mut bytes = Vec::with_capacity(TYPICAL_ENVELOPE_BYTES);
+        envelope::encode(&route, transmit.contents, &mut bytes);
+        self.socket.try_send_to(&bytes, self.fabric).map(|_| ())
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        buffers: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut bytes = [0; MAX_DATAGRAM_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            ready!(self.socket.poll_recv_from(cx, &mut buffer))?;
+            let Some((caller, datagram)) = self.take(buffer.filled()) else {
+                continue;
+            };
+            if datagram.len() > buffers[0].len() {
+                continue;
+            }
+            buffers[0][..datagram.len()].copy_from_slice(datagram);
+            meta[0] = RecvMeta {
+                addr: caller,
+                len: datagram.len(),
+                stride: datagram.len(),
+                ecn: None,
+                dst_ip: None,
+            };
+            return Poll::Ready(Ok(1));
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    fn may_fragment(&self) -> bool {
+        false
+    }
+}
+
+#[derive(Debug)]
+struct WritePoller {
+    socket: Arc<AgentSocket>,
+}
+
+impl UdpPoller for WritePoller {
+    fn poll_writable(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.socket.poll_send_ready(cx)
+    }
+}
+
+/// Makes connection ids that are flow tags.
+pub struct TagGenerator {
+    shared: Arc<AgentShared>,
+}
+
+impl TagGenerator {
+    /// Creates a generator.
+    pub fn new(shared: Arc<AgentShared>) -> TagGenerator {
+        TagGenerator { shared }
+    }
+}
+
+impl ConnectionIdGenerator for TagGenerator {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&self.shared.fresh_tag())
+    }
+
+    fn cid_len(&self) -> usize {
+        TAG_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<std::time::Duration> {
+        None
+    }
+}
+
+/// Returns the tag of an agent.
+pub fn make_tag(
+    agent: std::net::SocketAddrV4,
+    incarnation: u64,
+    service: u16,
+    zone: u16,
+    nonce: u32,
+) -> Tag {
+    Tag { agent, incarnation: incarnation_fingerprint(incarnation), service, zone, nonce }
+}
--- /dev/null
+++ b/src/process/balancer.rs
@@ -0,0 +1,367 @@
+//! The balancer: forwards datagrams, keeps what is known, and spreads it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use prost::Message;
+use rand::Rng;
+use serde_json::Value;
+use serde_json::json;
+use snafu::ResultExt;
+use tokio::time::sleep;
+
+use crate::error::Result;
+use crate::error::SocketSnafu;
+use crate::log_event;
+use crate::process::admin;
+use crate::process::admin::AdminView;
+use crate::process::agent_reports::failure_label;
+use crate::process::clock::Clock;
+use crate::process::clock::HostClock;
+use crate::process::clock::fresh_incarnation;
+use crate::process::control::Control;
+use crate::process::control::ControlHandler;
+use crate::process::etcd::EtcdStore;
+use crate::process::events::Event;
+use crate::process::forwarder::Forwarder;
+use crate::process::forwarder::SharedTable;
+use crate::process::keys::read_cluster_keys;
+use crate::process::metrics::BalancerMetrics;
+use crate::process::metrics::count;
+use crate::process::settings::BalancerSettings;
+use crate::process::signals;
+use crate::process::store::Store;
+use crate::process::store_reader;
+use crate::process::tls;
+use crate::process::trace::Trace;
+use crate::version::peer::Outgoing;
+use crate::version::peer::Peer;
+use crate::version::peer::PeerCounts;
+use crate::version::record::BalancerRecord;
+use crate::version::record::RecordKey;
+use crate::version::table::Table;
+use crate::wire::ControlRequest;
+use crate::wire::ControlResponse;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Silence of peers and store after which a balancer counts itself as cut off, in milliseconds.
+const ISOLATED_MS: u64 = 8_000;
+
+/// Time without a datagram after which a stopping balancer ends.
+const QUIET: Duration = Duration::from_millis(1_000);
+
+/// What the tasks of one balancer share.
+pub struct BalancerShared {
+    settings: BalancerSettings,
+    metrics: Arc<BalancerMetrics>,
+    clock: Box<dyn Clock>,
+    trace: Trace,
+    peer: Mutex<Peer>,
+    table: SharedTable,
+    table_version: AtomicU64,
+    store_answer_ms: AtomicU64,
+    stopping: AtomicBool,
+}
+
+impl BalancerShared {
+    /// Settings.
+    pub fn settings(&self) -> &BalancerSettings {
+        &self.settings
+    }
+
+    /// Metrics.
+    pub fn metrics(&self) -> &BalancerMetrics {
+        &self.metrics
+    }
+
+    /// Reads what is known.
+    pub fn with_peer<T>(&self, read: impl FnOnce(&Peer) -> T) -> T {
+        read(&self.peer.lock().expect("lock is not poisoned"))
+    }
+
+    /// Changes what is known and puts the new table in force.
+    pub fn change_peer<T>(&self, change: impl FnOnce(&mut Peer) -> T) -> T {
+        let mut peer = self.peer.lock().expect("lock is not poisoned");
+        let before = peer.counts();
+        let result = change(&mut peer);
+        self.count_changes(before, peer.counts());
+        let draining = peer.draining_zones();
+        // The number of draining zones tells a change as well as the version does.
+        let version = peer.records().version() << 8 | draining.len() as u64;
+        if self.table_version.swap(version, Ordering::Relaxed) != version {
+            let table = Arc::new(Table::new(peer.records(), &draining));
+            *self.table.write().expect("lock is not poisoned") = table;
+            self.metrics.records_held.set(peer.records().len() as i64);
+        }
+        result
+    }
+
+    /// Notes that the store answered.
+    pub fn note_store_answer(&self) {
+        self.store_answer_ms.store(self.clock.now_ms(), Ordering::Relaxed);
+    }
+
+    fn count_changes(&self, before: PeerCounts, after: PeerCounts) {
+        let changes = [
+            ("taken", after.taken - before.taken),
+            ("stale", after.stale - before.stale),
+            ("full", after.full - before.full),
+            ("malformed", after.malformed - before.malformed),
+            ("target-lost", after.targets_lost - before.targets_lost),
+            ("balancer-lost", after.balancers_lost - before.balancers_lost),
+        ];
+        for (reason, change) in changes.into_iter().filter(|(_, change)| *change > 0) {
+            let label = crate::process::metrics::ReasonLabel { reason };
+            self.metrics.records.get_or_create(&label).inc_by(change);
+        }
+        if after.targets_lost > before.targets_lost {
+            log_event!(Event::TargetLost, "count={}", after.targets_lost - before.targets_lost);
+        }
+        if after.balancers_lost > before.balancers_lost {
+            let count = after.balancers_lost - before.balancers_lost;
+            log_event!(Event::BalancerLost, "count={count}");
+        }
+    }
+
+    /// Cut off: other balancers are known, and neither they nor the store answer.
+    fn is_isolated(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let store_ms = self.store_answer_ms.load(Ordering::Relaxed);
+        self.with_peer(|peer| {
+            let others = peer.records().iter().filter(|record| match record.key() {
+                RecordKey::Balancer(control) => control != self.settings.control_address,
+                _ => false,
+            });
+            let last_ms = store_ms.max(peer.last_contact_ms().unwrap_or(0));
+            others.count() > 0 && now_ms.saturating_sub(last_ms) >= ISOLATED_MS
+        })
+    }
+
+    async fn make_calls(self: Arc<Self>, control: Arc<Control>, calls: Vec<Outgoing>) {
+        for call in calls {
+            let shared = Arc::clone(&self);
+            let control = Arc::clone(&control);
+            tokio::spawn(async move { shared.make_call(control, call).await });
+        }
+    }
+
+    async fn make_call(self: Arc<Self>, control: Arc<Control>, call: Outgoing) {
+        let mut due = vec![call];
+        while let Some(call) = due.pop() {
+            self.metrics.control_sent_messages.inc();
+            self.metrics.control_sent_bytes.inc_by(call.request.encoded_len() as u64);
+            match control.call(call.to, &call.request).await {
+                Ok(response) => {
+                    let now_ms = self.clock.now_ms();
+                    self.write_trace("answered", now_ms, &response.encode_to_vec());
+                    due.extend(self.change_peer(|peer| peer.answered(now_ms, &call, &response)));
+                }
+                Err(error) => {
+                    count(&self.metrics.call_failures, failure_label(&error));
+                    log_event!(Event::CallFailed, "peer={} {error}", call.to);
+                    self.change_peer(|peer| peer.failed(&call));
+                }
+            }
+        }
+    }
+
+    fn write_trace(&self, input: &str, at_ms: u64, bytes: &[u8]) {
+        if self.trace.is_on() {
+            let line = json!({"at_ms": at_ms, "input": input, "bytes": STANDARD.encode(bytes)});
+            self.trace.write(&line);
+        }
+    }
+}
+
+impl ControlHandler for BalancerShared {
+    fn answer(&self, request: &ControlRequest) -> ControlResponse {
+        let response = self.change_peer(|peer| {
+            let now_ms = self.clock.now_ms();
+            self.write_trace("request", now_ms, &request.encode_to_vec());
+            peer.answer(now_ms, request)
+        });
+        self.metrics.control_sent_messages.inc();
+        self.metrics.control_sent_bytes.inc_by(response.encoded_len() as u64);
+        response
+    }
+
+    fn malformed(&self) {
+        self.metrics.malformed_messages.inc();
+    }
+}
+
+impl AdminView for BalancerShared {
+    fn unready_reason(&self) -> Option<String> {
+        if self.stopping.load(Ordering::Relaxed) {
+            return Some("stopping".to_owned());
+        }
+        let zone = &self.settings.availability_zone;
+        let (configured, zone_out) =
+            self.with_peer(|peer| (peer.is_configured(), peer.records().is_zone_out(zone)));
+        if !configured {
+            return Some("no configuration yet".to_owned());
+        }
+        if zone_out {
+            return Some("availability zone is out".to_owned());
+        }
+        self.is_isolated().then(|| "cut off from other balancers and the store".to_owned())
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.text()
+    }
+
+    fn status(&self) -> Value {
+        let ready = self.unready_reason();
+        self.with_peer(|peer| status_of(peer, &self.settings, ready))
+    }
+}
+
+fn status_of(peer: &Peer, settings: &BalancerSettings, unready_reason: Option<String>) -> Value {
+    let records = peer.records();
+    let targets: Vec<Value> = records
+        .targets()
+        .map(|target| {
+            json!({
+                "agent": target.data.to_string(),
+                "service": target.service,
+                "availability_zone": target.zone,
+                "phase": format!("{:?}", target.phase).to_lowercase(),
+                "lost": target.lost,
+            })
+        })
+        .collect();
+    let kept: Vec<Value> = peer
+        .keeper()
+        .kept()
+        .map(|(target, digest)| {
+            let expected = peer.agent_configuration_digest(target);
+            json!({"agent": target.to_string(), "lags": expected != Some(digest)})
+        })
+        .collect();
+    let balancers: Vec<Value> = records
+        .live_balancers()
+        .map(|balancer| {
+            json!({
+                "control": balancer.control.to_string(),
+                "admin": balancer.admin.to_string(),
+                "availability_zone": balancer.zone,
+            })
+        })
+        .collect();
+    json!({
+        "role": "balancer",
+        "node": settings.control_address.to_string(),
+        "availability_zone": settings.availability_zone,
+        "unready_reason": unready_reason,
+        "configuration_revision": records.configuration_revision(),
+        "configuration_digest": format!("{:016x}", records.configuration_digest()),
+        "balancers": balancers,
+        "targets": targets,
+        "kept": kept,
+    })
+}
+
+/// Runs a balancer until it is told to stop.
+pub async fn run(settings: BalancerSettings) -> Result<()> {
+    let keys = read_cluster_keys(&settings.keys_file)?;
+    let node = tls::node_configs(&settings.tls)?;
+    let trace = Trace::new(settings.trace_path.as_deref())?;
+    let metrics = Arc::new(BalancerMetrics::new());
+    let table = SharedTable::default();
+    let forwarder = Forwarder::new(Arc::clone(&table), keys.tag_keys, Arc::clone(&metrics));
+    let control = Control::new(settings.control_address, node)?;
+    forwarder.start(settings.data_address, settings.forward_threads)?;
+    let store: Arc<dyn Store> = Arc::new(EtcdStore::new(&settings.store_endpoints));
+    let peer = Peer::new(own_record(&settings), &settings.seeds);
+    let shared = Arc::new(BalancerShared {
+        metrics,
+        clock: Box::new(HostClock::new()),
+        trace,
+        peer: Mutex::new(peer),
+        table,
+        table_version: AtomicU64::new(0),
+        store_answer_ms: AtomicU64::new(0),
+        stopping: AtomicBool::new(false),
+        settings,
+    });
+    let view: Arc<dyn AdminView> = Arc::clone(&shared) as Arc<dyn AdminView>;
+    let admin = admin::start(shared.settings.admin_address, view, |server| server).await?;
+
+    log_event!(Event::Started, "balancer control={}", shared.settings.control_address);
+    let handler: Arc<dyn ControlHandler> = Arc::clone(&shared) as Arc<dyn ControlHandler>;
+    tokio::spawn(Arc::clone(&control).serve(handler));
+    tokio::spawn(tick(Arc::clone(&shared), Arc::clone(&control)));
+    tokio::spawn(store_reader::run(Arc::clone(&shared), Arc::clone(&store)));
+    tokio::spawn(store_reader::keep_contact(Arc::clone(&shared), store));
+    let address = SocketAddr::V4(shared.settings.control_address);
+    signals::wait_for_stop().await.context(SocketSnafu { address })?;
+    stop(&shared, &forwarder).await;
+    control.close().await;
+    admin.notify();
+    log_event!(Event::Stopped);
+    Ok(())
+}
+
+fn own_record(settings: &BalancerSettings) -> BalancerRecord {
+    BalancerRecord {
+        control: settings.control_address,
+        incarnation: fresh_incarnation(),
+        sequence: 0,
+        lost: false,
+        zone: settings.availability_zone.clone(),
+        admin: settings.admin_address,
+        gone: false,
+    }
+}
+
+async fn tick(shared: Arc<BalancerShared>, control: Arc<Control>) {
+    let mut unready = None;
+    let mut revision = 0;
+    loop {
+        let random = rand::rng().random();
+        let now_ms = shared.clock.now_ms();
+        let calls = shared.change_peer(|peer| peer.tick(now_ms, random));
+        Arc::clone(&shared).make_calls(Arc::clone(&control), calls).await;
+        log_changes(&shared, &mut unready, &mut revision);
+        sleep(TICK).await;
+    }
+}
+
+fn log_changes(shared: &BalancerShared, unready: &mut Option<String>, revision: &mut u64) {
+    let now = Some(shared.unready_reason().unwrap_or_default());
+    if *unready != now {
+        log_event!(Event::ReadinessChanged, "unready_reason={:?}", now.as_deref().unwrap_or(""));
+        *unready = now;
+    }
+    let now = shared.with_peer(|peer| peer.records().configuration_revision());
+    if *revision != now {
+        log_event!(Event::ConfigurationChanged, "revision={now}");
+        *revision = now;
+    }
+}
+
+/// A planned stop: not ready, and forwarding until the fabric sends elsewhere.
+async fn stop(shared: &Arc<BalancerShared>, forwarder: &Forwarder) {
+    shared.stopping.store(true, Ordering::Relaxed);
+    shared.change_peer(Peer::stop);
+    let until_ms = shared.clock.now_ms() + shared.settings.stop_ms;
+    loop {
+        let before = forwarder.received();
+        sleep(QUIET).await;
+        let is_quiet = forwarder.received() == before;
+        if is_quiet || shared.clock.now_ms() >= until_ms {
+            break;
+        }
+    }
+    forwarder.stop();
+}
--- /dev/null
+++ b/src/process/clock.rs
@@ -0,0 +1,49 @@
+//! The clock as a trait object, so that tests and replays can bring their own.
+
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use rand::Rng;
+
+/// Bits of an incarnation that are random.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
+/// A source of time.
+pub trait Clock: Send + Sync {
+    /// Milliseconds since some fixed moment of this process; never goes back.
+    fn now_ms(&self) -> u64;
+}
+
+/// The clock of the host.
+#[derive(Debug)]
+pub struct HostClock {
+    start: Instant,
+}
+
+impl HostClock {
+    /// Creates a clock that starts at 0.
+    pub fn new() -> HostClock {
+        HostClock { start: Instant::now() }
+    }
+}
+
+impl Default for HostClock {
+    fn default() -> HostClock {
+        HostClock::new()
+    }
+}
+
+impl Clock for HostClock {
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Returns a fresh incarnation: milliseconds of wall-clock time and some random bits.
+pub fn fresh_incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let wall_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX >> INCARNATION_RANDOM_BITS);
+    let random: u64 = rand::rng().random_range(0..1 << INCARNATION_RANDOM_BITS);
+    (wall_ms << INCARNATION_RANDOM_BITS) | random
+}
--- /dev/null
+++ b/src/process/configuration.rs
@@ -0,0 +1,90 @@
+//! How configuration lies in the store: one key a service, one a zone.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::process::service_file::ServiceSpec;
+use crate::process::store::StoreValue;
+use crate::version::record::Record;
+use crate::version::record::ServiceRecord;
+use crate::version::record::ZoneRecord;
+
+/// Prefix of all configuration.
+pub const CONFIGURATION_PREFIX: &str = "rhubarbthread/v1/config/";
+
+/// Prefix of the control addresses of balancers, for newcomers.
+pub const CONTACT_PREFIX: &str = "rhubarbthread/v1/contact/";
+
+/// Key of the next free service number.
+pub const NUMBERS_KEY: &str = "rhubarbthread/v1/numbers";
+
+const SERVICE_PREFIX: &str = "rhubarbthread/v1/config/service/";
+const ZONE_PREFIX: &str = "rhubarbthread/v1/config/zone/";
+
+/// Value of a service key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredService {
+    /// Identity of the publishing that wrote it.
+    pub publish_id: String,
+    /// Number in flow tags.
+    pub number: u16,
+    /// Whether the service was removed.
+    pub removed: bool,
+    /// The service.
+    pub spec: ServiceSpec,
+}
+
+/// Value of a zone key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredZone {
+    /// Identity of the operation that wrote it.
+    pub publish_id: String,
+    /// Whether the zone is out.
+    pub out: bool,
+}
+
+/// Value of [`NUMBERS_KEY`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredNumbers {
+    /// Next free service number.
+    pub next: u16,
+}
+
+/// Key of a service.
+pub fn service_key(name: &str) -> String {
+    format!("{SERVICE_PREFIX}{name}")
+}
+
+/// Key of a zone.
+pub fn zone_key(name: &str) -> String {
+    format!("{ZONE_PREFIX}{name}")
+}
+
+/// Reads one value under [`CONFIGURATION_PREFIX`]; `None` where this version does not know it.
+pub fn parse_record(value: &StoreValue) -> Option<Record> {
+    if let Some(name) = value.key.strip_prefix(SERVICE_PREFIX) {
+        let stored: StoredService = serde_json::from_slice(&value.value).ok()?;
+        return (stored.spec.name == name).then(|| service_record(&stored, value.revision));
+    }
+    let name = value.key.strip_prefix(ZONE_PREFIX)?;
+    let stored: StoredZone = serde_json::from_slice(&value.value).ok()?;
+    let name = name.to_owned();
+    Some(Record::Zone(ZoneRecord { revision: value.revision, name, out: stored.out }))
+}
+
+fn service_record(stored: &StoredService, revision: u64) -> Record {
+    let spec = &stored.spec;
+    Record::Service(ServiceRecord {
+        revision,
+        name: spec.name.clone(),
+        removed: stored.removed,
+        number: stored.number,
+        address: spec.address,
+        first_limit: spec.first_limit,
+        growth_answers: spec.growth_answers,
+        request_deadline_ms: spec.request_deadline_ms,
+        retry_budget_percent: spec.retry_budget_percent,
+        zones: spec.zones.clone(),
+        stream_paths: spec.stream_paths.clone(),
+    })
+}
--- /dev/null
+++ b/src/process/control.rs
@@ -0,0 +1,170 @@
+//! Calls between the system's processes: one QUIC stream a call, under mutual TLS.
+//!
+//! Bounds: [`MAX_MESSAGE_BYTES`] a message; connections are kept one a peer and closed when idle.
+
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use prost::Message;
+use quinn::Connection;
+use quinn::Endpoint;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::time::timeout;
+
+use crate::error::Result;
+use crate::error::SocketSnafu;
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::tls::NODE_NAME;
+use crate::process::tls::NodeConfigs;
+use crate::wire::ControlRequest;
+use crate::wire::ControlResponse;
+
+/// Largest message, in bytes (four megabytes).
+pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// Longest wait for an answer.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+const SHARDS: usize = 8;
+
+/// Why a call failed.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum CallError {
+    /// No connection, or it broke.
+    #[snafu(display("{message}"))]
+    Connection {
+        /// The cause.
+        message: String,
+    },
+    /// No answer in time.
+    #[snafu(display("no answer in time"))]
+    TimedOut,
+    /// The answer does not parse.
+    #[snafu(display("the answer does not parse"))]
+    Malformed,
+}
+
+/// Answers calls.
+pub trait ControlHandler: Send + Sync {
+    /// Answers one call.
+    fn answer(&self, request: &ControlRequest) -> ControlResponse;
+
+    /// Notes a message that does not parse.
+    fn malformed(&self);
+}
+
+/// One process's end of the calls.
+pub struct Control {
+    endpoint: Endpoint,
+    connections: [Mutex<IndexMap<SocketAddrV4, Connection>>; SHARDS],
+    hasher: RandomState,
+}
+
+impl Control {
+    /// Opens the socket.
+    pub fn new(address: SocketAddrV4, configs: NodeConfigs) -> Result<Arc<Control>> {
+        let address = SocketAddr::V4(address);
+        let mut endpoint =
+            Endpoint::server(configs.server, address).context(SocketSnafu { address })?;
+        endpoint.set_default_client_config(configs.client);
+        let connections = std::array::from_fn(|_| Mutex::default());
+        Ok(Arc::new(Control { endpoint, connections, hasher: RandomState::new() }))
+    }
+
+    /// Answers calls until the endpoint closes.
+    pub async fn serve(self: Arc<Self>, handler: Arc<dyn ControlHandler>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let handler = Arc::clone(&handler);
+            tokio::spawn(async move {
+                match incoming.await {
+                    Ok(connection) => serve_connection(connection, handler).await,
+                    Err(error) => log_event!(Event::PeerRefused, "{error}"),
+                }
+            });
+        }
+    }
+
+    /// Calls a peer.
+    pub async fn call(
+        &self,
+        peer: SocketAddrV4,
+        request: &ControlRequest,
+    ) -> Result<ControlResponse, CallError> {
+        let answer = timeout(CALL_TIMEOUT, self.call_untimed(peer, request)).await;
+        let answer = answer.unwrap_or(Err(CallError::TimedOut));
+        if answer.is_err() {
+            self.shard(peer).lock().expect("lock is not poisoned").swap_remove(&peer);
+        }
+        answer
+    }
+
+    /// Closes all connections.
+    pub async fn close(&self) {
+        self.endpoint.close(0_u32.into(), b"stopped");
+        let _ = timeout(CALL_TIMEOUT, self.endpoint.wait_idle()).await;
+    }
+
+    async fn call_untimed(
+        &self,
+        peer: SocketAddrV4,
+        request: &ControlRequest,
+    ) -> Result<ControlResponse, CallError> {
+        let connection = self.connection(peer).await?;
+        let (mut send, mut receive) = connection.open_bi().await.map_err(broken)?;
+        send.write_all(&request.encode_to_vec()).await.map_err(broken)?;
+        send.finish().map_err(broken)?;
+        let bytes = receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(broken)?;
+        ControlResponse::decode(bytes.as_slice()).map_err(|_| CallError::Malformed)
+    }
+
+    async fn connection(&self, peer: SocketAddrV4) -> Result<Connection, CallError> {
+        let kept = self.shard(peer).lock().expect("lock is not poisoned").get(&peer).cloned();
+        if let Some(connection) = kept.filter(|connection| connection.close_reason().is_none()) {
+            return Ok(connection);
+        }
+        let connecting = self.endpoint.connect(SocketAddr::V4(peer), NODE_NAME).map_err(broken)?;
+        let connection = connecting.await.map_err(broken)?;
+        let mut shard = self.shard(peer).lock().expect("lock is not poisoned");
+        shard.retain(|_, connection| connection.close_reason().is_none());
+        shard.insert(peer, connection.clone());
+        Ok(connection)
+    }
+
+    fn shard(&self, peer: SocketAddrV4) -> &Mutex<IndexMap<SocketAddrV4, Connection>> {
+        let index = self.hasher.hash_one(peer) as usize % SHARDS;
+        &self.connections[index]
+    }
+}
+
+async fn serve_connection(connection: Connection, handler: Arc<dyn ControlHandler>) {
+    while let Ok((mut send, mut receive)) = connection.accept_bi().await {
+        let handler = Arc::clone(&handler);
+        tokio::spawn(async move {
+            let Ok(bytes) = receive.read_to_end(MAX_MESSAGE_BYTES).await else {
+                handler.malformed();
+                return;
+            };
+            let Ok(request) = ControlRequest::decode(bytes.as_slice()) else {
+                handler.malformed();
+                return;
+            };
+            let response = handler.answer(&request).encode_to_vec();
+            if send.write_all(&response).await.is_ok() {
+                // The peer may be gone by now; then nobody waits for the end of the stream.
+                let _ = send.finish();
+            }
+        });
+    }
+}
+
+fn broken(error: impl std::fmt::Display) -> CallError {
+    CallError::Connection { message: error.to_string() }
+}
--- /dev/null
+++ b/src/process/daemon.rs
@@ -0,0 +1,93 @@
+//! The start of a daemon: arguments, settings, log, threads, exit code.
+
+use std::future::Future;
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use tokio::runtime::Builder;
+
+use crate::error::EXIT_SUCCESS;
+use crate::error::EXIT_USAGE;
+use crate::error::Error;
+use crate::error::Result;
+use crate::process::logging;
+use crate::process::settings::LogSettings;
+
+/// Arguments of a daemon.
+#[derive(Debug, Options)]
+pub struct DaemonOptions {
+    /// Print help.
+    #[options(help = "print this help and exit")]
+    pub help: bool,
+    /// Print the version.
+    #[options(help = "print the version and exit", short = "V")]
+    pub version: bool,
+    /// Settings file.
+    #[options(help = "settings, JSON with comments (see docs/SETTINGS.md)", meta = "FILE")]
+    pub config: Option<PathBuf>,
+    /// Check only.
+    #[options(help = "check the settings and exit: 0 where they are right, 2 where not")]
+    pub check: bool,
+}
+
+/// What differs between the daemons.
+pub trait Daemon {
+    /// Checked settings.
+    type Settings;
+
+    /// Name of the program.
+    const NAME: &'static str;
+
+    /// Reads and checks settings and the files they name.
+    fn read(path: &std::path::Path) -> Result<Self::Settings>;
+
+    /// Settings of the log.
+    fn log(settings: &Self::Settings) -> &LogSettings;
+
+    /// Runs until told to stop.
+    fn run(settings: Self::Settings) -> impl Future<Output = Result<()>>;
+}
+
+/// Runs a daemon and returns its exit code.
+pub fn main<D: Daemon>() -> i32 {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let options = match DaemonOptions::parse_args_default(&arguments) {
+        Ok(options) => options,
+        Err(error) => return usage_error::<D>(&error.to_string()),
+    };
+    if options.help {
+        println!("Usage: {} --config FILE [--check]\n\n{}", D::NAME, DaemonOptions::usage());
+        return EXIT_SUCCESS;
+    }
+    if options.version {
+        println!("{} {}", D::NAME, env!("CARGO_PKG_VERSION"));
+        return EXIT_SUCCESS;
+    }
+    let Some(path) = &options.config else {
+        return usage_error::<D>("--config FILE is missing");
+    };
+    match start::<D>(path, options.check) {
+        Ok(()) => EXIT_SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn start<D: Daemon>(path: &std::path::Path, check_only: bool) -> Result<()> {
+    let settings = D::read(path)?;
+    if check_only {
+        println!("{}: settings are right", path.display());
+        return Ok(());
+    }
+    logging::start(D::log(&settings));
+    let runtime = Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|source| Error::File { path: path.to_owned(), source })?;
+    runtime.block_on(D::run(settings))
+}
+
+fn usage_error<D: Daemon>(message: &str) -> i32 {
+    eprintln!("{}: {message}\nTry {} --help.", D::NAME, D::NAME);
+    EXIT_USAGE
+}
--- /dev/null
+++ b/src/process/document.rs
@@ -0,0 +1,344 @@
+//! Reading of JSON with comments, collecting every fault with its line.
+
+use std::cell::RefCell;
+use std::fs;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::path::PathBuf;
+
+use indexmap::IndexSet;
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::Array;
+use jsonc_parser::ast::Object;
+use jsonc_parser::ast::ObjectProp;
+use jsonc_parser::ast::Value;
+use jsonc_parser::parse_to_ast;
+
+use crate::process::fault::Fault;
+
+/// Largest file that is read, in bytes (one megabyte).
+const MAX_FILE_BYTES: usize = 1 << 20;
+
+/// One file that is being read.
+#[derive(Debug)]
+pub struct Document {
+    path: PathBuf,
+    text: String,
+    faults: RefCell<Vec<Fault>>,
+}
+
+impl Document {
+    /// Reads a file.
+    pub fn open(path: &Path) -> Result<Document, Fault> {
+        let fault = |message: String| Fault {
+            file: path.to_owned(),
+            line: 1,
+            key: String::new(),
+            message,
+        };
+        let text = fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
+        if text.len() > MAX_FILE_BYTES {
+            return Err(fault(format!("larger than {MAX_FILE_BYTES} bytes")));
+        }
+        Ok(Document::new(path, text))
+    }
+
+    /// Creates a document from text; `path` is for messages.
+    pub fn new(path: &Path, text: String) -> Document {
+        Document { path: path.to_owned(), text, faults: RefCell::new(Vec::new()) }
+    }
+
+    /// Reads the whole document by `read`; returns all faults where there is any.
+    pub fn read<T>(&self, read: impl FnOnce(&Section<'_>) -> Option<T>) -> Result<T, Vec<Fault>> {
+        let read = self.read_root(read);
+        let faults = self.faults.take();
+        match read {
+            Some(value) if faults.is_empty() => Ok(value),
+            _ => Err(faults),
+        }
+    }
+
+    fn read_root<T>(&self, read: impl FnOnce(&Section<'_>) -> Option<T>) -> Option<T> {
+        let parsed = parse_to_ast(&self.text, &CollectOptions::default(), &ParseOptions::default());
+        let parsed = match parsed {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                self.fault(error.range().start, "", error.kind().to_string());
+                return None;
+            }
+        };
+        let Some(Value::Object(object)) = parsed.value else {
+            self.fault(0, "", "must be an object in braces".to_owned());
+            return None;
+        };
+        let section = Section::new(self, object, String::new());
+        let value = read(&section);
+        section.finish();
+        value
+    }
+
+    fn fault(&self, at: usize, key: &str, message: String) {
+        let line = self.text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1;
+        let key = key.to_owned();
+        self.faults.borrow_mut().push(Fault { file: self.path.clone(), line, key, message });
+    }
+}
+
+/// One object of a document.
+#[derive(Debug)]
+pub struct Section<'a> {
+    document: &'a Document,
+    object: Object<'a>,
+    path: String,
+    known: RefCell<IndexSet<String>>,
+}
+
+impl<'a> Section<'a> {
+    fn new(document: &'a Document, object: Object<'a>, path: String) -> Section<'a> {
+        let section = Section { document, object, path, known: RefCell::default() };
+        section.report_duplicates();
+        section
+    }
+
+    /// Folder of the file, against which paths in it are resolved.
+    pub fn folder(&self) -> &Path {
+        self.document.path.parent().unwrap_or(Path::new(""))
+    }
+
+    /// Adds a fault of a key.
+    pub fn fault(&self, key: &str, message: String) {
+        let at = self.property(key).map_or(self.object.range.start, |property| property.range.start);
+        self.document.fault(at, &self.key_path(key), message);
+    }
+
+    /// Reads text.
+    pub fn text(&self, key: &str) -> Option<String> {
+        let value = self.required(key)?;
+        self.as_text(key, value)
+    }
+
+    /// Reads text that may be left out.
+    pub fn optional_text(&self, key: &str) -> Option<String> {
+        let value = self.value(key)?;
+        self.as_text(key, value)
+    }
+
+    /// Reads text that must be one of `allowed`.
+    pub fn choice(&self, key: &str, allowed: &[&str], default: &str) -> Option<String> {
+        let Some(value) = self.value(key) else {
+            return Some(default.to_owned());
+        };
+        let text = self.as_text(key, value)?;
+        if allowed.contains(&text.as_str()) {
+            return Some(text);
+        }
+        self.fault(key, format!("must be one of {}, not {text:?}", allowed.join(", ")));
+        None
+    }
+
+    /// Reads a whole number; `default` holds where the key is left out.
+    pub fn number(
+        &self,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> Option<u64> {
+        let value = match (self.value(key), default) {
+            (None, Some(default)) => return Some(default),
+            (None, None) => self.required(key)?,
+            (Some(value), _) => value,
+        };
+        let number = match value {
+            Value::NumberLit(literal) => literal.value.parse::<u64>().ok(),
+            _ => None,
+        };
+        let allowed = number.filter(|number| range.contains(number));
+        if allowed.is_none() {
+            let (low, high) = range.into_inner();
+            self.fault(key, format!("must be a whole number from {low} to {high}"));
+        }
+        allowed
+    }
+
+    /// Reads a name of lower-case letters, digits and hyphens.
+    pub fn name(&self, key: &str) -> Option<String> {
+        let text = self.text(key)?;
+        self.valid_name(key, text)
+    }
+
+    /// Reads an IPv4 address with port.
+    pub fn address_v4(&self, key: &str) -> Option<SocketAddrV4> {
+        let text = self.text(key)?;
+        self.parse(key, &text, "an IPv4 address with port, as \"10.0.0.1:7000\"")
+    }
+
+    /// Reads an IP address with port.
+    pub fn address(&self, key: &str) -> Option<SocketAddr> {
+        let text = self.text(key)?;
+        self.parse(key, &text, "an IP address with port, as \"10.0.0.1:443\"")
+    }
+
+    /// Reads a list of IPv4 addresses with ports.
+    pub fn addresses_v4(&self, key: &str) -> Option<Vec<SocketAddrV4>> {
+        let allowed = "an IPv4 address with port, as \"10.0.0.1:7000\"";
+        self.texts(key)?.iter().map(|text| self.parse(key, text, allowed)).collect()
+    }
+
+    /// Reads a list of names.
+    pub fn names(&self, key: &str) -> Option<Vec<String>> {
+        self.texts(key)?.into_iter().map(|text| self.valid_name(key, text)).collect()
+    }
+
+    /// Reads a list of texts; empty where the key is left out.
+    pub fn texts(&self, key: &str) -> Option<Vec<String>> {
+        let Some(value) = self.value(key) else {
+            return Some(Vec::new());
+        };
+        let elements = self.as_array(key, value)?;
+        elements.elements.iter().map(|element| self.as_text(key, element)).collect()
+    }
+
+    /// Reads a path, resolved against the folder of the file.
+    pub fn path(&self, key: &str) -> Option<PathBuf> {
+        Some(self.folder().join(self.text(key)?))
+    }
+
+    /// Reads a path that may be left out.
+    pub fn optional_path(&self, key: &str) -> Option<PathBuf> {
+        Some(self.folder().join(self.optional_text(key)?))
+    }
+
+    /// Reads an inner object.
+    pub fn section<T>(
+        &self,
+        key: &str,
+        read: impl FnOnce(&Section<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.required(key)?;
+        self.read_object(key, value, read)
+    }
+
+    /// Reads an inner object that may be left out.
+    pub fn optional_section<T>(
+        &self,
+        key: &str,
+        default: T,
+        read: impl FnOnce(&Section<'_>) -> Option<T>,
+    ) -> Option<T> {
+        match self.value(key) {
+            Some(value) => self.read_object(key, value, read),
+            None => Some(default),
+        }
+    }
+
+    /// Reads a list of objects, at least one.
+    pub fn sections<T>(
+        &self,
+        key: &str,
+        read: impl Fn(&Section<'_>) -> Option<T>,
+    ) -> Option<Vec<T>> {
+        let value = self.required(key)?;
+        let array = self.as_array(key, value)?;
+        if array.elements.is_empty() {
+            self.fault(key, "must not be empty".to_owned());
+            return None;
+        }
+        array.elements.iter().map(|element| self.read_object(key, element, &read)).collect()
+    }
+
+    fn read_object<T>(
+        &self,
+        key: &str,
+        value: &Value<'_>,
+        read: impl FnOnce(&Section<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let Value::Object(object) = value else {
+            self.fault(key, "must be an object in braces".to_owned());
+            return None;
+        };
+        let section = Section::new(self.document, object.clone(), self.key_path(key));
+        let value = read(&section);
+        section.finish();
+        value
+    }
+
+    fn valid_name(&self, key: &str, text: String) -> Option<String> {
+        if crate::version::service::is_valid_name(&text) {
+            return Some(text);
+        }
+        let allowed = "must be 1 to 63 lower-case letters, digits or inner hyphens";
+        self.fault(key, format!("{allowed}, not {text:?}"));
+        None
+    }
+
+    fn parse<T: std::str::FromStr>(&self, key: &str, text: &str, allowed: &str) -> Option<T> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.fault(key, format!("must be {allowed}, not {text:?}"));
+        }
+        parsed
+    }
+
+    fn as_text(&self, key: &str, value: &Value<'_>) -> Option<String> {
+        if let Value::StringLit(literal) = value {
+            return Some(literal.value.to_string());
+        }
+        self.fault(key, "must be text in quotes".to_owned());
+        None
+    }
+
+    fn as_array<'v>(&self, key: &str, value: &'v Value<'a>) -> Option<&'v Array<'a>> {
+        if let Value::Array(array) = value {
+            return Some(array);
+        }
+        self.fault(key, "must be a list in square brackets".to_owned());
+        None
+    }
+
+    fn required(&self, key: &str) -> Option<&Value<'a>> {
+        let value = self.value(key);
+        if value.is_none() {
+            self.fault(key, "is missing".to_owned());
+        }
+        value
+    }
+
+    fn value(&self, key: &str) -> Option<&Value<'a>> {
+        self.known.borrow_mut().insert(key.to_owned());
+        self.property(key).map(|property| &property.value)
+    }
+
+    fn property(&self, key: &str) -> Option<&ObjectProp<'a>> {
+        self.object.properties.iter().find(|property| property.name.as_str() == key)
+    }
+
+    fn key_path(&self, key: &str) -> String {
+        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
+    }
+
+    fn report_duplicates(&self) {
+        let mut seen = IndexSet::new();
+        for property in &self.object.properties {
+            let name = property.name.as_str();
+            if !seen.insert(name) {
+                let message = "stands twice".to_owned();
+                self.document.fault(property.range.start, &self.key_path(name), message);
+            }
+        }
+    }
+
+    fn finish(&self) {
+        let known = self.known.borrow();
+        for property in &self.object.properties {
+            let name = property.name.as_str();
+            if !known.contains(name) {
+                let allowed = known.iter().map(String::as_str).collect::<Vec<_>>().join(", ");
+                let message = format!("is not a key here; allowed: {allowed}");
+                self.document.fault(property.range.start, &self.key_path(name), message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/process/etcd.rs
@@ -0,0 +1,257 @@
+//! Store adapter for the JSON form of the etcd v3 API (range, txn, lease, watch).
+//!
+//! Source: the published API reference of etcd v3.5, "gRPC gateway". 64-bit numbers are strings,
+//! keys and values base 64.
+
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::BoxStream;
+use reqwest::Client;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::process::store::Put;
+use crate::process::store::Store;
+use crate::process::store::StoreError;
+use crate::process::store::StoreSnapshot;
+use crate::process::store::StoreValue;
+use crate::process::store::TransactionOutcome;
+use crate::process::store::Unchanged;
+use crate::process::store::Watch;
+
+/// Longest wait for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest watch message, in bytes (four megabytes).
+const MAX_WATCH_BYTES: usize = 4 << 20;
+
+/// Client of one store behind several endpoints.
+pub struct EtcdStore {
+    client: Client,
+    endpoints: Vec<String>,
+}
+
+impl EtcdStore {
+    /// Creates a client; nothing is sent yet.
+    pub fn new(endpoints: &[String]) -> EtcdStore {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .build()
+            .expect("a client without TLS can always be made");
+        let trim = |endpoint: &String| endpoint.trim_end_matches('/').to_owned();
+        EtcdStore { client, endpoints: endpoints.iter().map(trim).collect() }
+    }
+
+    /// Calls the endpoints in turn until one can be reached. A call that was sent is not repeated.
+    async fn call(&self, path: &str, body: &Value) -> Result<Value, StoreError> {
+        let mut last = StoreError::Unreachable { message: "no endpoint is set".to_owned() };
+        for endpoint in &self.endpoints {
+            match self.call_one(endpoint, path, body).await {
+                Err(error @ StoreError::Unreachable { .. }) => last = error,
+                other => return other,
+            }
+        }
+        Err(last)
+    }
+
+    async fn call_one(&self, endpoint: &str, path: &str, body: &Value) -> Result<Value, StoreError> {
+        let request = self.client.post(format!("{endpoint}{path}")).json(body);
+        let response = request.timeout(CALL_TIMEOUT).send().await.map_err(send_error)?;
+        let status = response.status();
+        if status.is_server_error() {
+            return Err(StoreError::NoAnswer { message: status.to_string() });
+        }
+        if !status.is_success() {
+            return Err(StoreError::Refused { message: status.to_string() });
+        }
+        response.json().await.map_err(|error| StoreError::NoAnswer { message: error.to_string() })
+    }
+
+    async fn open_watch(&self, prefix: &str, from: u64) -> Result<Box<dyn Watch>, StoreError> {
+        let body = json!({"create_request": {
+            "key": STANDARD.encode(prefix),
+            "range_end": STANDARD.encode(range_end(prefix)),
+            "start_revision": from.to_string(),
+        }});
+        let mut last = StoreError::Unreachable { message: "no endpoint is set".to_owned() };
+        for endpoint in &self.endpoints {
+            let request = self.client.post(format!("{endpoint}/v3/watch")).json(&body);
+            match request.send().await.map_err(send_error) {
+                Ok(response) if response.status().is_success() => {
+                    let stream = response.bytes_stream().boxed();
+                    return Ok(Box::new(EtcdWatch { stream, buffer: Vec::new() }));
+                }
+                Ok(response) => {
+                    last = StoreError::Refused { message: response.status().to_string() };
+                }
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+}
+
+impl Store for EtcdStore {
+    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<StoreSnapshot, StoreError>> {
+        Box::pin(async move {
+            let body = json!({
+                "key": STANDARD.encode(prefix),
+                "range_end": STANDARD.encode(range_end(prefix)),
+            });
+            let answer = self.call("/v3/kv/range", &body).await?;
+            let kvs = answer["kvs"].as_array().map_or(&[][..], Vec::as_slice);
+            let values = kvs.iter().map(parse_value).collect::<Result<_, _>>()?;
+            Ok(StoreSnapshot { revision: parse_number(&answer["header"]["revision"])?, values })
+        })
+    }
+
+    fn transaction<'a>(
+        &'a self,
+        conditions: &'a [Unchanged],
+        puts: &'a [Put],
+    ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>> {
+        Box::pin(async move {
+            let compare: Vec<Value> = conditions.iter().map(compare_json).collect();
+            let success: Vec<Value> = puts.iter().map(put_json).collect();
+            let body = json!({"compare": compare, "success": success});
+            let answer = self.call("/v3/kv/txn", &body).await?;
+            if !answer["succeeded"].as_bool().unwrap_or(false) {
+                return Ok(TransactionOutcome::Conflict);
+            }
+            Ok(TransactionOutcome::Done(parse_number(&answer["header"]["revision"])?))
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        from_revision: u64,
+    ) -> BoxFuture<'a, Result<Box<dyn Watch>, StoreError>> {
+        Box::pin(self.open_watch(prefix, from_revision))
+    }
+
+    fn grant_lease(&self, ttl_s: u32) -> BoxFuture<'_, Result<i64, StoreError>> {
+        Box::pin(async move {
+            let answer = self.call("/v3/lease/grant", &json!({"TTL": ttl_s.to_string()})).await?;
+            let id = parse_number(&answer["ID"])?;
+            i64::try_from(id).map_err(|_| malformed("lease id"))
+        })
+    }
+
+    fn keep_lease(&self, lease: i64) -> BoxFuture<'_, Result<bool, StoreError>> {
+        Box::pin(async move {
+            let body = json!({"ID": lease.to_string()});
+            let answer = self.call("/v3/lease/keepalive", &body).await?;
+            let ttl = answer["result"]["TTL"].as_str().unwrap_or("0");
+            Ok(ttl != "0")
+        })
+    }
+}
+
+struct EtcdWatch {
+    stream: BoxStream<'static, reqwest::Result<Bytes>>,
+    buffer: Vec<u8>,
+}
+
+impl EtcdWatch {
+    async fn next_line(&mut self) -> Result<Vec<u8>, StoreError> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                return Ok(self.buffer.drain(..=end).collect());
+            }
+            if self.buffer.len() > MAX_WATCH_BYTES {
+                return Err(malformed("watch message is too long"));
+            }
+            match self.stream.next().await {
+                Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
+                Some(Err(error)) => {
+                    return Err(StoreError::NoAnswer { message: error.to_string() });
+                }
+                None => {
+                    return Err(StoreError::NoAnswer { message: "the watch ended".to_owned() });
+                }
+            }
+        }
+    }
+}
+
+impl Watch for EtcdWatch {
+    fn next(&mut self) -> BoxFuture<'_, Result<Vec<StoreValue>, StoreError>> {
+        Box::pin(async move {
+            let line = self.next_line().await?;
+            let message: Value =
+                serde_json::from_slice(&line).map_err(|_| malformed("watch message"))?;
+            let result = &message["result"];
+            if result["canceled"].as_bool().unwrap_or(false) {
+                return Err(StoreError::Compacted);
+            }
+            let events = result["events"].as_array().map_or(&[][..], Vec::as_slice);
+            // Deletions are left out: removal is a value of its own.
+            let is_put = |event: &&Value| event["type"].as_str().unwrap_or("PUT") == "PUT";
+            events.iter().filter(is_put).map(|event| parse_value(&event["kv"])).collect()
+        })
+    }
+}
+
+fn send_error(error: reqwest::Error) -> StoreError {
+    let message = error.to_string();
+    if error.is_connect() {
+        return StoreError::Unreachable { message };
+    }
+    StoreError::NoAnswer { message }
+}
+
+fn malformed(what: &str) -> StoreError {
+    StoreError::Refused { message: format!("its answer does not parse: {what}") }
+}
+
+/// First key after all keys with a prefix.
+fn range_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    end
+}
+
+fn compare_json(condition: &Unchanged) -> Value {
+    json!({
+        "key": STANDARD.encode(&condition.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": condition.revision.to_string(),
+    })
+}
+
+fn put_json(put: &Put) -> Value {
+    json!({"request_put": {
+        "key": STANDARD.encode(&put.key),
+        "value": STANDARD.encode(&put.value),
+        "lease": put.lease.unwrap_or(0).to_string(),
+    }})
+}
+
+fn parse_value(kv: &Value) -> Result<StoreValue, StoreError> {
+    let key = decode(&kv["key"])?;
+    let key = String::from_utf8(key).map_err(|_| malformed("key"))?;
+    let value = if kv["value"].is_null() { Vec::new() } else { decode(&kv["value"])? };
+    Ok(StoreValue { key, value, revision: parse_number(&kv["mod_revision"])? })
+}
+
+fn decode(value: &Value) -> Result<Vec<u8>, StoreError> {
+    let text = value.as_str().ok_or_else(|| malformed("base 64"))?;
+    STANDARD.decode(text).map_err(|_| malformed("base 64"))
+}
+
+fn parse_number(value: &Value) -> Result<u64, StoreError> {
+    let text = value.as_str().ok_or_else(|| malformed("number"))?;
+    text.parse().map_err(|_| malformed("number"))
+}
--- /dev/null
+++ b/src/process/events.rs
@@ -0,0 +1,110 @@
+//! Numbered log events. `docs/LOG-EVENTS.md` is the catalogue; a test holds the two together.
+
+use log::Level;
+
+/// Key under which a log record carries its event number.
+pub const EVENT_KEY: &str = "event";
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// One kind of thing that is logged.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum Event {
+            $($(#[doc = $doc])* $name,)*
+        }
+
+        impl Event {
+            /// All events.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// Number, the same in every version of the program.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$name => $number,)* }
+            }
+
+            /// Level at which it is logged.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)* }
+            }
+
+            /// What happened, in words.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// A daemon runs.
+    Started = 100, Info, "started";
+    /// A planned stop began.
+    Stopping = 101, Info, "planned stop began";
+    /// A daemon ends.
+    Stopped = 102, Info, "stopped";
+    /// A second signal ended a planned stop.
+    StopForced = 103, Warn, "second signal, ending at once";
+    /// The readiness changed.
+    ReadinessChanged = 104, Info, "readiness changed";
+    /// The admin interface ended.
+    AdminFailed = 105, Error, "admin interface failed";
+    /// A new version of the configuration is in force.
+    ConfigurationChanged = 200, Info, "configuration in force";
+    /// The store did not answer.
+    StoreFailed = 201, Warn, "store call failed";
+    /// The store answers again.
+    StoreBack = 202, Info, "store answers";
+    /// A value in the store is not what this version writes.
+    StoreValueInvalid = 203, Error, "value in the store does not parse";
+    /// This balancer watches the store.
+    StoreReaderChanged = 204, Info, "store reader role changed";
+    /// A target was declared lost.
+    TargetLost = 300, Warn, "target declared lost";
+    /// A balancer was declared lost.
+    BalancerLost = 301, Warn, "balancer declared lost";
+    /// A call to another process failed.
+    CallFailed = 302, Debug, "control call failed";
+    /// A connection of another process was refused.
+    PeerRefused = 303, Warn, "control connection refused";
+    /// A target announced itself.
+    TargetAnnounced = 400, Info, "target announced";
+    /// A target is another process than before.
+    TargetReplaced = 401, Warn, "target process replaced";
+    /// A target leaves.
+    TargetLeaving = 402, Info, "target leaves";
+    /// A target no longer renews.
+    TargetExpired = 403, Warn, "target no longer renews";
+    /// A target closed a connection on its own.
+    TargetConnectionLost = 404, Debug, "target closed a connection";
+    /// The availability zone went out or in.
+    ZoneChanged = 405, Info, "availability zone changed";
+    /// The agent took a new incarnation.
+    IncarnationChanged = 406, Warn, "new incarnation";
+    /// A request was refused.
+    RequestRefused = 407, Debug, "request refused";
+    /// A flow could not be set up.
+    FlowFailed = 408, Debug, "flow failed";
+    /// The socket of the forwarding path failed.
+    ForwardFailed = 500, Error, "forwarding socket failed";
+    /// A trace could not be written.
+    TraceFailed = 501, Error, "trace file failed";
+}
+
+/// Logs an event with details.
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr) => {
+        $crate::log_event!($event, "")
+    };
+    ($event:expr, $($details:tt)+) => {{
+        let event: $crate::process::events::Event = $event;
+        log::log!(
+            target: "rhubarbthread",
+            event.level(),
+            event = event.number();
+            "{} {}",
+            event.text(),
+            format_args!($($details)+)
+        )
+    }};
+}
--- /dev/null
+++ b/src/process/forwarder.rs
@@ -0,0 +1,250 @@
+//! The forwarding path of a balancer: threads that receive and send datagrams in batches.
+
+use std::io;
+use std::io::IoSlice;
+use std::io::IoSliceMut;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::os::fd::AsRawFd;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use nix::errno::Errno;
+use nix::sys::socket::MsgFlags;
+use nix::sys::socket::MultiHeaders;
+use nix::sys::socket::SockaddrIn;
+use nix::sys::socket::recvmmsg;
+use nix::sys::socket::sendmmsg;
+use snafu::ResultExt;
+use socket2::SockRef;
+
+use crate::connection::envelope;
+use crate::connection::tag::TagKeys;
+use crate::error::Result;
+use crate::error::SocketSnafu;
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::metrics::BalancerMetrics;
+use crate::process::metrics::count;
+use crate::version::table::Forward;
+use crate::version::table::Table;
+
+/// Datagrams handled together.
+pub const BATCH: usize = 32;
+
+/// Largest envelope, in bytes.
+const MAX_ENVELOPE_BYTES: usize = 2_048;
+
+/// Size of the socket's buffers, in bytes (four megabytes).
+const SOCKET_BUFFER_BYTES: usize = 4 << 20;
+
+/// Longest wait for a datagram, after which a thread looks whether to end.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// The table in force, shared with the forwarding threads.
+pub type SharedTable = Arc<RwLock<Arc<Table>>>;
+
+/// What the threads share.
+pub struct Forwarder {
+    table: SharedTable,
+    keys: TagKeys,
+    metrics: Arc<BalancerMetrics>,
+    stop: AtomicBool,
+    received: AtomicU64,
+}
+
+impl Forwarder {
+    /// Creates the shared part.
+    pub fn new(table: SharedTable, keys: TagKeys, metrics: Arc<BalancerMetrics>) -> Arc<Forwarder> {
+        Arc::new(Forwarder {
+            table,
+            keys,
+            metrics,
+            stop: AtomicBool::new(false),
+            received: AtomicU64::new(0),
+        })
+    }
+
+    /// Opens the socket and starts the threads.
+    pub fn start(self: &Arc<Self>, address: SocketAddrV4, threads: usize) -> Result<()> {
+        let socket = open_socket(address)?;
+        for _ in 0..threads {
+            let forwarder = Arc::clone(self);
+            let socket = socket.try_clone().context(SocketSnafu { address })?;
+            thread::Builder::new()
+                .name("forward".to_owned())
+                .spawn(move || forwarder.run(&socket))
+                .context(SocketSnafu { address })?;
+        }
+        Ok(())
+    }
+
+    /// Datagrams received so far.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Ends the threads.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
+    fn run(&self, socket: &UdpSocket) {
+        let mut batch = Batch::new();
+        while !self.stop.load(Ordering::Relaxed) {
+            match batch.receive(socket) {
+                Ok(0) => {}
+                Ok(received) => {
+                    self.received.fetch_add(received as u64, Ordering::Relaxed);
+                    let table = Arc::clone(&self.table.read().expect("lock is not poisoned"));
+                    self.route(&table, &mut batch, received);
+                    batch.send(socket);
+                }
+                Err(error) => {
+                    log_event!(Event::ForwardFailed, "{error}");
+                    thread::sleep(RECEIVE_TIMEOUT);
+                }
+            }
+        }
+    }
+
+    fn route(&self, table: &Table, batch: &mut Batch, received: usize) {
+        let mut established = 0;
+        let mut openings = 0;
+        batch.outgoing.clear();
+        for index in 0..received {
+            let bytes = &batch.buffers[index][..batch.lengths[index]];
+            let Ok((route, datagram)) = envelope::decode(bytes) else {
+                count(&self.metrics.dropped, "bad-envelope");
+                continue;
+            };
+            match table.route(&self.keys, route.source, route.destination, datagram) {
+                Forward::Established(agent) => {
+                    established += 1;
+                    batch.outgoing.push(Outgoing { index, rewritten: None, to: agent });
+                }
+                Forward::Opening(chain) => {
+                    openings += 1;
+                    let to = chain[0];
+                    let mut rewritten = Vec::with_capacity(MAX_ENVELOPE_BYTES);
+                    envelope::encode(&route.with_chain(chain), datagram, &mut rewritten);
+                    batch.outgoing.push(Outgoing { index, rewritten: Some(rewritten), to });
+                }
+                Forward::Drop(reason) => count(&self.metrics.dropped, reason.as_str()),
+            }
+        }
+        self.metrics.forwarded_established.inc_by(established);
+        self.metrics.forwarded_openings.inc_by(openings);
+    }
+}
+
+/// Opens a data socket with large buffers.
+pub fn open_socket(address: SocketAddrV4) -> Result<UdpSocket> {
+    let socket = UdpSocket::bind(address).context(SocketSnafu { address })?;
+    let options = SockRef::from(&socket);
+    // The system may allow less; then bursts are lost a little earlier.
+    let _ = options.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+    let _ = options.set_send_buffer_size(SOCKET_BUFFER_BYTES);
+    socket.set_read_timeout(Some(RECEIVE_TIMEOUT)).context(SocketSnafu { address })?;
+    Ok(socket)
+}
+
+/// A datagram to send: a received one as it is, or rewritten.
+pub struct Outgoing {
+    /// Index of the received datagram.
+    pub index: usize,
+    /// The bytes to send in its place.
+    pub rewritten: Option<Vec<u8>>,
+    /// Where to.
+    pub to: SocketAddrV4,
+}
+
+/// Buffers for one batch of datagrams.
+pub struct Batch {
+    buffers: Vec<[u8; MAX_ENVELOPE_BYTES]>,
+    lengths: [usize; BATCH],
+    receive_headers: MultiHeaders<SockaddrIn>,
+    send_headers: MultiHeaders<SockaddrIn>,
+    /// Datagrams to send.
+    pub outgoing: Vec<Outgoing>,
+}
+
+impl Default for Batch {
+    fn default() -> Batch {
+        Batch::new()
+    }
+}
+
+impl Batch {
+    /// Allocates the buffers.
+    pub fn new() -> Batch {
+        Batch {
+            buffers: vec![[0; MAX_ENVELOPE_BYTES]; BATCH],
+            lengths: [0; BATCH],
+            receive_headers: MultiHeaders::preallocate(BATCH, None),
+            send_headers: MultiHeaders::preallocate(BATCH, None),
+            outgoing: Vec::with_capacity(BATCH),
+        }
+    }
+
+    /// Receives up to [`BATCH`] datagrams; 0 where none came in time.
+    pub fn receive(&mut self, socket: &UdpSocket) -> io::Result<usize> {
+        let mut slices: Vec<[IoSliceMut<'_>; 1]> =
+            self.buffers.iter_mut().map(|buffer| [IoSliceMut::new(buffer)]).collect();
+        let received = recvmmsg(
+            socket.as_raw_fd(),
+            &mut self.receive_headers,
+            slices.iter_mut(),
+            MsgFlags::MSG_WAITFORONE,
+            None,
+        );
+        match received {
+            Ok(messages) => {
+                let mut count = 0;
+                for message in messages {
+                    self.lengths[count] = message.bytes;
+                    count += 1;
+                }
+                Ok(count)
+            }
+            Err(Errno::EAGAIN | Errno::EINTR) => Ok(0),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Sends what is in `outgoing`. What the socket does not take is lost, as on any hop.
+    pub fn send(&mut self, socket: &UdpSocket) {
+        if self.outgoing.is_empty() {
+            return;
+        }
+        let slices: Vec<[IoSlice<'_>; 1]> = self
+            .outgoing
+            .iter()
+            .map(|outgoing| match &outgoing.rewritten {
+                Some(bytes) => [IoSlice::new(bytes)],
+                None => {
+                    let length = self.lengths[outgoing.index];
+                    [IoSlice::new(&self.buffers[outgoing.index][..length])]
+                }
+            })
+            .collect();
+        let addresses: Vec<Option<SockaddrIn>> =
+            self.outgoing.iter().map(|outgoing| Some(SockaddrIn::from(outgoing.to))).collect();
+        let sent = sendmmsg(
+            socket.as_raw_fd(),
+            &mut self.send_headers,
+            &slices,
+            &addresses,
+            [],
+            MsgFlags::empty(),
+        );
+        if let Err(error) = sent {
+            log::debug!(target: "rhubarbthread", "datagrams not sent: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/process/logging.rs
@@ -0,0 +1,66 @@
+//! Set-up of the log.
+
+use std::fmt::Arguments;
+use std::io::IsTerminal;
+use std::io::stderr;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use fern::Dispatch;
+use fern::FormatCallback;
+use fern::colors::Color;
+use fern::colors::ColoredLevelConfig;
+use log::LevelFilter;
+use log::Record;
+use serde_json::json;
+
+use crate::process::events::EVENT_KEY;
+use crate::process::settings::LogFormat;
+use crate::process::settings::LogSettings;
+
+/// Starts logging to standard error. A second call has no effect.
+pub fn start(settings: &LogSettings) {
+    let format = settings.format;
+    let colors = ColoredLevelConfig::new().error(Color::Red).warn(Color::Yellow);
+    let is_terminal = stderr().is_terminal();
+    let dispatch = Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("rhubarbthread", settings.level)
+        .level_for("quinn", LevelFilter::Error)
+        .level_for("rocket", LevelFilter::Error)
+        .format(move |out, message, record| match format {
+            LogFormat::Json => write_json(out, message, record),
+            LogFormat::Text if is_terminal => {
+                let level = colors.color(record.level());
+                write_text(out, message, record, &level.to_string());
+            }
+            LogFormat::Text => write_text(out, message, record, record.level().as_str()),
+        })
+        .chain(stderr());
+    // Another logger is already set in a program that embeds the daemons; that one stays.
+    let _ = dispatch.apply();
+}
+
+fn write_text(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>, level: &str) {
+    let event = event_number(record);
+    out.finish(format_args!("{} {level} {event} {message}", now_ms()));
+}
+
+fn write_json(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let line = json!({
+        "at_ms": now_ms(),
+        "level": record.level().as_str(),
+        "event": event_number(record),
+        "message": message.to_string(),
+    });
+    out.finish(format_args!("{line}"));
+}
+
+fn event_number(record: &Record<'_>) -> u64 {
+    let value = record.key_values().get(EVENT_KEY.into());
+    value.and_then(|value| value.to_u64()).unwrap_or(0)
+}
+
+fn now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,34 @@
+//! What lives as long as a process: settings, sockets, tasks, daemons and the operators' tool.
+
+pub mod admin;
+pub mod agent;
+pub mod agent_admin;
+pub mod agent_reports;
+pub mod agent_socket;
+pub mod agent_state;
+pub mod balancer;
+pub mod clock;
+pub mod configuration;
+pub mod control;
+pub mod daemon;
+pub mod document;
+pub mod etcd;
+pub mod events;
+pub mod fault;
+pub mod forwarder;
+pub mod key_files;
+pub mod keys;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod publish;
+pub mod request_handler;
+pub mod service_file;
+pub mod settings;
+pub mod signals;
+pub mod status;
+pub mod store;
+pub mod store_reader;
+pub mod tls;
+pub mod trace;
+pub mod upstream;
--- /dev/null
+++ b/src/process/request_handler.rs
@@ -0,0 +1,554 @@
+//! One caller's flow: HTTP/3 requests in, HTTP/1.1 requests to the target, whole answers back.
+//!
+//! Bounds: [`MAX_BODY_BYTES`] a request body, [`MAX_BUFFERED_BYTES`] of request bodies together,
+//! [`MAX_KEPT_BODY_BYTES`] of an answer kept for its ticket.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use h3::error::Code;
+use h3::quic::BidiStream;
+use h3::quic::RecvStream;
+use h3::quic::SendStream;
+use h3::server::RequestStream;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use quinn::Connection;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+use crate::log_event;
+use crate::process::agent::AgentShared;
+use crate::process::agent::Binding;
+use crate::process::agent_state::Decision;
+use crate::process::agent_state::Input;
+use crate::process::agent_state::TicketId;
+use crate::process::events::Event;
+use crate::process::metrics::count;
+use crate::process::upstream::UpstreamConnection;
+use crate::process::upstream::UpstreamError;
+use crate::request::admission::Outcome;
+use crate::request::deadline;
+use crate::request::deadline::DEADLINE_HEADER;
+use crate::request::ticket::TICKET_HEADER;
+use crate::request::ticket::Ticket;
+use crate::request::ticket_book::KeptAnswer;
+use crate::request::verdict::REASON_HEADER;
+use crate::request::verdict::Refusal;
+use crate::request::verdict::VERDICT_HEADER;
+use crate::request::verdict::Verdict;
+
+/// Largest request body, in bytes (one megabyte).
+pub const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// Request bodies held at once, in bytes (32 megabytes).
+pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
+/// Largest answer body kept for a ticket, in bytes (64 kilobytes).
+pub const MAX_KEPT_BODY_BYTES: usize = 64 << 10;
+
+/// Requests that crossed a GOAWAY on their way and are still refused one by one.
+const REQUESTS_AFTER_GOAWAY: usize = 32;
+
+/// Longest wait for a caller to close a flow whose requests have all ended.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// Longest wait for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+static BUFFERED: Semaphore = Semaphore::const_new(MAX_BUFFERED_BYTES);
+
+static RUNNING: AtomicU32 = AtomicU32::new(0);
+
+/// Requests and long streams that run in this process.
+pub fn running() -> u32 {
+    RUNNING.load(Ordering::Relaxed)
+}
+
+/// Serves one flow. With a `refusal` every request is refused for that reason.
+pub async fn serve(shared: &Arc<AgentShared>, connection: &Connection, refusal: Option<Refusal>) {
+    let built = h3::server::builder().build(h3_quinn::Connection::new(connection.clone())).await;
+    let mut flow: h3::server::Connection<h3_quinn::Connection, Bytes> = match built {
+        Ok(flow) => flow,
+        Err(error) => {
+            log_event!(Event::FlowFailed, "{error}");
+            return;
+        }
+    };
+    let mut leaving = shared.leaving.subscribe();
+    let mut is_away = false;
+    let mut requests = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = flow.accept() => {
+                let resolver = match accepted {
+                    Ok(Some(resolver)) => resolver,
+                    Ok(None) => break,
+                    Err(_) => {
+                        requests.detach_all();
+                        return;
+                    }
+                };
+                let shared = Arc::clone(shared);
+                let connection = connection.clone();
+                requests.spawn(async move {
+                    let Ok((request, stream)) = resolver.resolve_request().await else {
+                        return;
+                    };
+                    serve_request(&shared, &connection, request, stream, refusal).await;
+                });
+            }
+            Some(_) = requests.join_next() => {}
+            () = until_true(&mut leaving), if !is_away => {
+                is_away = true;
+                // A caller that is gone needs no notice.
+                let _ = flow.shutdown(REQUESTS_AFTER_GOAWAY).await;
+            }
+        }
+    }
+    while requests.join_next().await.is_some() {}
+    // The caller closes the flow once it has read the last answer.
+    let _ = timeout(LINGER, connection.closed()).await;
+}
+
+async fn until_true(receiver: &mut watch::Receiver<bool>) {
+    if receiver.wait_for(|value| *value).await.is_err() {
+        // The sender lives as long as the process; without it there is nothing to wait for.
+        std::future::pending().await
+    }
+}
+
+/// A request as it arrived, whole.
+struct Arrived {
+    request: Request<()>,
+    body: BufferedBody,
+    ticket: Option<TicketId>,
+    idempotent: bool,
+    deadline: Instant,
+}
+
+/// A request body and its share of [`MAX_BUFFERED_BYTES`].
+struct BufferedBody {
+    bytes: Bytes,
+    _share: SemaphorePermit<'static>,
+}
+
+/// Counts a request among the running ones while it lives.
+struct Running;
+
+impl Running {
+    fn new() -> Running {
+        RUNNING.fetch_add(1, Ordering::Relaxed);
+        Running
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        RUNNING.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve_request<S>(
+    shared: &Arc<AgentShared>,
+    connection: &Connection,
+    request: Request<()>,
+    mut stream: RequestStream<S, Bytes>,
+    refusal: Option<Refusal>,
+) where
+    S: BidiStream<Bytes>,
+{
+    if let Some(reason) = refusal {
+        refuse(shared, &mut stream, reason).await;
+        return;
+    }
+    let Some(binding) = shared.binding() else {
+        refuse(shared, &mut stream, Refusal::NoTarget).await;
+        return;
+    };
+    let arrived = match receive(shared, &binding, request, &mut stream).await {
+        Ok(arrived) => arrived,
+        Err(reason) => {
+            refuse(shared, &mut stream, reason).await;
+            return;
+        }
+    };
+    let input = Input::Request { idempotent: arrived.idempotent, ticket: arrived.ticket };
+    match shared.apply(&input) {
+        Decision::Run => {
+            let _running = Running::new();
+            let ticket = arrived.ticket;
+            let mut ending = Ending::new(Arc::clone(shared), ticket);
+            let running = run(shared, &binding, arrived, &mut stream, &mut ending);
+            // With a ticket the caller may come back for the outcome on another flow.
+            if ticket.is_some() {
+                running.await;
+                return;
+            }
+            tokio::select! {
+                () = running => {}
+                _ = connection.closed() => {}
+            }
+        }
+        Decision::Kept(answer) => send_kept(shared, &mut stream, &answer).await,
+        Decision::Refuse(reason) => refuse(shared, &mut stream, reason).await,
+        _ => refuse(shared, &mut stream, Refusal::Malformed).await,
+    }
+}
+
+/// Tells the decisions how a request ended, at the latest when it is dropped.
+struct Ending {
+    shared: Arc<AgentShared>,
+    ticket: Option<TicketId>,
+    told: bool,
+    holds_slot: bool,
+}
+
+impl Ending {
+    fn new(shared: Arc<AgentShared>, ticket: Option<TicketId>) -> Ending {
+        Ending { shared, ticket, told: false, holds_slot: true }
+    }
+
+    fn not_sent(&mut self) {
+        self.told = true;
+        self.shared.apply(&Input::NotSent { ticket: self.ticket });
+    }
+
+    fn ended(&mut self, outcome: Outcome, answer: Option<KeptAnswer>) {
+        self.told = true;
+        if self.holds_slot {
+            self.shared.apply(&Input::Ended { outcome, ticket: self.ticket, answer });
+        }
+    }
+
+    fn stream_started(&mut self) {
+        self.holds_slot = false;
+        self.shared.apply(&Input::StreamStarted);
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        if !self.told {
+            self.ended(Outcome::Abandoned, None);
+        }
+    }
+}
+
+async fn receive<S>(
+    shared: &AgentShared,
+    binding: &Binding,
+    request: Request<()>,
+    stream: &mut RequestStream<S, Bytes>,
+) -> Result<Arrived, Refusal>
+where
+    S: RecvStream,
+{
+    let headers = request.headers();
+    let asked = headers.get(DEADLINE_HEADER).map(|value| value.to_str().unwrap_or(""));
+    let remaining_ms =
+        deadline::remaining_ms(asked, binding.request_deadline_ms).ok_or(Refusal::Malformed)?;
+    let deadline = Instant::now() + Duration::from_millis(remaining_ms);
+    let ticket = match headers.get(TICKET_HEADER) {
+        None => None,
+        Some(value) => Some(open_ticket(shared, value)?),
+    };
+    let idempotent = request.method().is_idempotent();
+    let body = receive_body(stream).await?;
+    Ok(Arrived { request, body, ticket, idempotent, deadline })
+}
+
+fn open_ticket(shared: &AgentShared, value: &HeaderValue) -> Result<TicketId, Refusal> {
+    let text = value.to_str().map_err(|_| Refusal::TicketInvalid)?;
+    let ticket = shared.keys().ticket_keys.open(text).ok_or(Refusal::TicketInvalid)?;
+    Ok(TicketId { incarnation: ticket.incarnation, number: ticket.number })
+}
+
+async fn receive_body<S>(stream: &mut RequestStream<S, Bytes>) -> Result<BufferedBody, Refusal>
+where
+    S: RecvStream,
+{
+    let until = Instant::now() + BODY_TIMEOUT;
+    let mut body = Vec::new();
+    let mut share = BUFFERED.try_acquire_many(0).map_err(|_| Refusal::Overloaded)?;
+    loop {
+        let received = timeout_at(until, stream.recv_data()).await;
+        let data = received.map_err(|_| Refusal::Malformed)?.map_err(|_| Refusal::Malformed)?;
+        let Some(mut data) = data else {
+            return Ok(BufferedBody { bytes: Bytes::from(body), _share: share });
+        };
+        let more = data.remaining();
+        if body.len() + more > MAX_BODY_BYTES {
+            return Err(Refusal::TooLarge);
+        }
+        let permit = BUFFERED.try_acquire_many(more as u32).map_err(|_| Refusal::Overloaded)?;
+        share.merge(permit);
+        body.extend_from_slice(&data.copy_to_bytes(more));
+    }
+}
+
+async fn run<S>(
+    shared: &Arc<AgentShared>,
+    binding: &Binding,
+    arrived: Arrived,
+    stream: &mut RequestStream<S, Bytes>,
+    ending: &mut Ending,
+) where
+    S: SendStream<Bytes>,
+{
+    let deadline = arrived.deadline;
+    if deadline <= Instant::now() {
+        ending.not_sent();
+        refuse_with(shared, stream, Refusal::Deadline, Verdict::NotRun).await;
+        return;
+    }
+    let path = arrived.request.uri().path().to_owned();
+    let keeps_answer = arrived.ticket.is_some();
+    let request = upstream_request(binding, arrived);
+    let sending = shared.upstream.send(binding.target_address, binding.max_connections, request);
+    match timeout_at(deadline, sending).await {
+        Err(_) => {
+            ending.ended(Outcome::Abandoned, None);
+            refuse(shared, stream, Refusal::Deadline).await;
+        }
+        Ok(Err(error)) => refuse_upstream(shared, stream, ending, &error).await,
+        Ok(Ok((response, connection))) => {
+            let is_stream = binding.stream_paths.iter().any(|prefix| path.starts_with(prefix));
+            let mut relay = Relay { shared, stream, ending, connection, deadline };
+            if is_stream && response.status().is_success() {
+                relay.ending.stream_started();
+                relay.deadline = Instant::now() + Duration::from_millis(deadline::MAX_DEADLINE_MS);
+            }
+            relay.answer(response, keeps_answer).await;
+        }
+    }
+}
+
+async fn refuse_upstream<S>(
+    shared: &AgentShared,
+    stream: &mut RequestStream<S, Bytes>,
+    ending: &mut Ending,
+    error: &UpstreamError,
+) where
+    S: SendStream<Bytes>,
+{
+    let reason = match error {
+        UpstreamError::NotSent => Refusal::TargetUnreachable,
+        UpstreamError::Full => Refusal::NoConnection,
+        UpstreamError::Closed => {
+            ending.ended(Outcome::Failed, None);
+            refuse(shared, stream, Refusal::TargetClosed).await;
+            return;
+        }
+    };
+    ending.not_sent();
+    refuse(shared, stream, reason).await;
+}
+
+/// An answer on its way from the target to the caller.
+struct Relay<'a, S> {
+    shared: &'a AgentShared,
+    stream: &'a mut RequestStream<S, Bytes>,
+    ending: &'a mut Ending,
+    connection: UpstreamConnection,
+    deadline: Instant,
+}
+
+impl<S> Relay<'_, S>
+where
+    S: SendStream<Bytes>,
+{
+    async fn answer(self, response: Response<Incoming>, keeps_answer: bool) {
+        let (mut head, mut body) = response.into_parts();
+        remove_hop_headers(&mut head.headers);
+        let is_shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        let verdict = if is_shed { Verdict::MayHaveRun } else { Verdict::Ran };
+        head.headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict.as_str()));
+        count(&self.shared.metrics().answers, verdict.as_str());
+        let mut kept = keeps_answer.then(|| KeptAnswer {
+            status: head.status.as_u16(),
+            headers: kept_headers(&head.headers),
+            body: Some(Vec::new()),
+        });
+        let mut caller_is_there =
+            self.stream.send_response(Response::from_parts(head, ())).await.is_ok();
+        loop {
+            if !caller_is_there && kept.is_none() {
+                self.ending.ended(Outcome::Abandoned, None);
+                return;
+            }
+            let data = match timeout_at(self.deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return self.broken(Outcome::Failed),
+                Err(_) => return self.broken(Outcome::Abandoned),
+            };
+            keep_body(&mut kept, &data);
+            if caller_is_there {
+                caller_is_there = self.stream.send_data(data).await.is_ok();
+            }
+        }
+        let outcome = if is_shed { Outcome::Shed } else { Outcome::Answered };
+        self.ending.ended(outcome, kept);
+        self.shared.upstream.give_back(self.connection);
+        // A caller that is gone has no use for the end of the answer.
+        let _ = self.stream.finish().await;
+    }
+
+    /// Breaks the answer off, so that the caller does not take a part for the whole.
+    fn broken(self, outcome: Outcome) {
+        self.ending.ended(outcome, None);
+        self.stream.stop_stream(Code::H3_INTERNAL_ERROR);
+    }
+}
+
+fn keep_body(kept: &mut Option<KeptAnswer>, data: &[u8]) {
+    let Some(answer) = kept else {
+        return;
+    };
+    let Some(body) = &mut answer.body else {
+        return;
+    };
+    if body.len() + data.len() > MAX_KEPT_BODY_BYTES {
+        answer.body = None;
+    } else {
+        body.extend_from_slice(data);
+    }
+}
+
+fn kept_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let pair = |(name, value): (&HeaderName, &HeaderValue)| {
+        Some((name.to_string(), value.to_str().ok()?.to_owned()))
+    };
+    headers.iter().filter_map(pair).collect()
+}
+
+fn upstream_request(binding: &Binding, arrived: Arrived) -> Request<Full<Bytes>> {
+    let (mut head, ()) = arrived.request.into_parts();
+    let authority = head.uri.authority().map(ToString::to_string);
+    let host = authority.unwrap_or_else(|| binding.service_address.to_string());
+    let path = head.uri.path_and_query().cloned();
+    head.uri = path.map_or_else(|| http::Uri::from_static("/"), http::Uri::from);
+    head.version = http::Version::HTTP_11;
+    head.extensions.clear();
+    remove_hop_headers(&mut head.headers);
+    head.headers.remove(TICKET_HEADER);
+    if let Ok(host) = HeaderValue::from_str(&host) {
+        head.headers.insert(header::HOST, host);
+    }
+    let remaining = arrived.deadline.saturating_duration_since(Instant::now());
+    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    head.headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining_ms));
+    head.headers.remove(header::CONTENT_LENGTH);
+    if !arrived.body.bytes.is_empty() || head.method == Method::POST {
+        head.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(arrived.body.bytes.len()));
+    }
+    Request::from_parts(head, Full::new(arrived.body.bytes))
+}
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1).
+fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ] {
+        headers.remove(name);
+    }
+}
+
+async fn send_kept<S>(
+    shared: &AgentShared,
+    stream: &mut RequestStream<S, Bytes>,
+    answer: &KeptAnswer,
+) where
+    S: SendStream<Bytes>,
+{
+    count(&shared.metrics().answers, "kept");
+    let mut response = Response::builder().status(answer.status);
+    for (name, value) in &answer.headers {
+        response = response.header(name, value);
+    }
+    let Ok(response) = response.body(()) else {
+        return;
+    };
+    send(stream, response, answer.body.clone().unwrap_or_default()).await;
+}
+
+async fn refuse<S>(shared: &AgentShared, stream: &mut RequestStream<S, Bytes>, reason: Refusal)
+where
+    S: SendStream<Bytes>,
+{
+    refuse_with(shared, stream, reason, reason.verdict()).await;
+}
+
+async fn refuse_with<S>(
+    shared: &AgentShared,
+    stream: &mut RequestStream<S, Bytes>,
+    reason: Refusal,
+    verdict: Verdict,
+) where
+    S: SendStream<Bytes>,
+{
+    count(&shared.metrics().refused_requests, reason.as_str());
+    log_event!(Event::RequestRefused, "reason={} verdict={verdict}", reason.as_str());
+    let mut response = Response::builder()
+        .status(reason.status())
+        .header(VERDICT_HEADER, verdict.as_str())
+        .header(REASON_HEADER, reason.as_str());
+    if let Some(after_s) = reason.retry_after_s() {
+        response = response.header(header::RETRY_AFTER, after_s);
+    }
+    if reason == Refusal::TicketNeeded
+        && let Some(ticket) = fresh_ticket(shared)
+    {
+        response = response.header(TICKET_HEADER, ticket);
+    }
+    let Ok(response) = response.body(()) else {
+        return;
+    };
+    send(stream, response, format!("{}\n", reason.as_str()).into_bytes()).await;
+}
+
+fn fresh_ticket(shared: &AgentShared) -> Option<String> {
+    let Decision::Ticket(number) = shared.apply(&Input::TicketWanted) else {
+        return None;
+    };
+    let tag = shared.fresh_tag();
+    let ticket = Ticket { tag, incarnation: shared.incarnation(), number };
+    Some(shared.keys().ticket_keys.seal(&ticket))
+}
+
+async fn send<S>(stream: &mut RequestStream<S, Bytes>, response: Response<()>, body: Vec<u8>)
+where
+    S: SendStream<Bytes>,
+{
+    // A caller that is gone gets no answer.
+    if stream.send_response(response).await.is_ok()
+        && stream.send_data(Bytes::from(body)).await.is_ok()
+    {
+        let _ = stream.finish().await;
+    }
+}
--- /dev/null
+++ b/src/process/service_file.rs
@@ -0,0 +1,149 @@
+//! Service files: what operators write, and how a folder of them is checked.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::process::document::Document;
+use crate::process::document::Section;
+use crate::process::fault::Fault;
+use crate::version::hash::zone_fingerprint;
+use crate::version::service;
+
+/// Ending of the files that are collected.
+pub const SERVICE_FILE_ENDING: &str = ".service.jsonc";
+
+/// One service as its file describes it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Name, unique in the system.
+    pub name: String,
+    /// Address that callers use.
+    pub address: SocketAddr,
+    /// Requests that a cold target runs at once.
+    pub first_limit: u32,
+    /// Answers that raise the limit of a cold target by one.
+    pub growth_answers: u32,
+    /// Deadline of a request that names none, in milliseconds.
+    pub request_deadline_ms: u32,
+    /// Retries per hundred requests that the caller library may send.
+    pub retry_budget_percent: u32,
+    /// Availability zones whose targets serve it; empty for all.
+    pub zones: Vec<String>,
+    /// Path prefixes of long streams.
+    pub stream_paths: Vec<String>,
+}
+
+/// Collects and checks all service files of a folder and its subfolders.
+pub fn read_folder(folder: &Path) -> Result<Vec<ServiceSpec>, Vec<Fault>> {
+    let mut paths = Vec::new();
+    if let Err(error) = collect(folder, &mut paths) {
+        return Err(vec![folder_fault(folder, error.to_string())]);
+    }
+    paths.sort();
+    if paths.is_empty() {
+        let message = format!("holds no file that ends in {SERVICE_FILE_ENDING}");
+        return Err(vec![folder_fault(folder, message)]);
+    }
+    let mut faults = Vec::new();
+    let mut specs = Vec::new();
+    for path in paths {
+        match read_service(&path) {
+            Ok(spec) => specs.push((path, spec)),
+            Err(found) => faults.extend(found),
+        }
+    }
+    faults.extend(shared_names(&specs));
+    faults.extend(shared_zone_fingerprints(&specs));
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    Ok(specs.into_iter().map(|(_, spec)| spec).collect())
+}
+
+fn read_service(path: &Path) -> Result<ServiceSpec, Vec<Fault>> {
+    let document = Document::open(path).map_err(|fault| vec![fault])?;
+    document.read(read)
+}
+
+fn read(section: &Section<'_>) -> Option<ServiceSpec> {
+    let name = section.name("name");
+    let address = section.address("address");
+    let cold_start = section.section("cold_start", |cold| {
+        let first_limit = cold.number("first_limit", service::FIRST_LIMIT, None);
+        let growth_answers = cold.number("growth_answers", service::GROWTH_ANSWERS, None);
+        Some((first_limit?, growth_answers?))
+    });
+    let deadline_ms = section.number("request_deadline_ms", service::DEADLINE_MS, Some(30_000));
+    let retry_budget =
+        section.number("retry_budget_percent", service::RETRY_BUDGET_PERCENT, Some(10));
+    let zones = section.names("zones");
+    let stream_paths = section.texts("stream_paths");
+    let (first_limit, growth_answers) = cold_start?;
+    Some(ServiceSpec {
+        name: name?,
+        address: address?,
+        first_limit: first_limit as u32,
+        growth_answers: growth_answers as u32,
+        request_deadline_ms: deadline_ms? as u32,
+        retry_budget_percent: retry_budget? as u32,
+        zones: zones?,
+        stream_paths: stream_paths?,
+    })
+}
+
+fn collect(folder: &Path, paths: &mut Vec<PathBuf>) -> std::io::Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        let path = entry.path();
+        if entry.file_type()?.is_dir() {
+            collect(&path, paths)?;
+        } else if path.to_string_lossy().ends_with(SERVICE_FILE_ENDING) {
+            paths.push(path);
+        }
+    }
+    Ok(())
+}
+
+fn folder_fault(folder: &Path, message: String) -> Fault {
+    Fault { file: folder.to_owned(), line: 1, key: String::new(), message }
+}
+
+fn shared_names(specs: &[(PathBuf, ServiceSpec)]) -> Vec<Fault> {
+    let mut names: IndexMap<&str, &Path> = IndexMap::new();
+    let mut addresses: IndexMap<SocketAddr, &Path> = IndexMap::new();
+    let mut faults = Vec::new();
+    for (path, spec) in specs {
+        if let Some(other) = names.insert(&spec.name, path) {
+            let message = format!("{:?} is also the name in {}", spec.name, other.display());
+            faults.push(Fault { file: path.clone(), line: 1, key: "name".to_owned(), message });
+        }
+        if let Some(other) = addresses.insert(spec.address, path) {
+            let message = format!("{} is also the address in {}", spec.address, other.display());
+            faults.push(Fault { file: path.clone(), line: 1, key: "address".to_owned(), message });
+        }
+    }
+    faults
+}
+
+/// Two zones with one fingerprint would be taken out together.
+fn shared_zone_fingerprints(specs: &[(PathBuf, ServiceSpec)]) -> Vec<Fault> {
+    let mut zones: IndexMap<u16, &str> = IndexMap::new();
+    let mut faults = Vec::new();
+    for (path, spec) in specs {
+        for zone in &spec.zones {
+            let other = *zones.entry(zone_fingerprint(zone)).or_insert(zone);
+            if other != zone {
+                let message = format!("{zone:?} and {other:?} cannot be used together; rename one");
+                faults.push(Fault { file: path.clone(), line: 1, key: "zones".to_owned(), message });
+            }
+        }
+    }
+    faults
+}
--- /dev/null
+++ b/src/process/settings.rs
@@ -0,0 +1,284 @@
+//! Settings of the daemons and of the operators' tool, checked before any socket opens.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::path::PathBuf;
+
+use indexmap::IndexMap;
+
+use crate::error::Error;
+use crate::error::InvalidSnafu;
+use crate::error::Result;
+use crate::process::document::Document;
+use crate::process::document::Section;
+
+/// Longest wait for running work at a planned stop, in milliseconds (ten minutes).
+const MAX_STOP_MS: u64 = 600_000;
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Settings of the log.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// How lines look.
+    pub format: LogFormat,
+    /// Least severe level that is written.
+    pub level: log::LevelFilter,
+}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings { format: LogFormat::Text, level: log::LevelFilter::Info }
+    }
+}
+
+/// Files of a certificate.
+#[derive(Clone, Debug)]
+pub struct CertificateFiles {
+    /// Certificate chain, PEM.
+    pub certificate: PathBuf,
+    /// Private key, PEM.
+    pub private_key: PathBuf,
+}
+
+/// Files of mutual TLS between the system's processes.
+#[derive(Clone, Debug)]
+pub struct NodeTls {
+    /// Certificates of the authority that signs nodes, PEM.
+    pub authority: PathBuf,
+    /// This node's certificate.
+    pub node: CertificateFiles,
+}
+
+/// Settings of a balancer.
+#[derive(Clone, Debug)]
+pub struct BalancerSettings {
+    /// Availability zone of this host.
+    pub availability_zone: String,
+    /// Address for datagrams from the fabric.
+    pub data_address: SocketAddrV4,
+    /// Address for the system's other processes.
+    pub control_address: SocketAddrV4,
+    /// Address of the admin interface.
+    pub admin_address: SocketAddrV4,
+    /// Control addresses of balancers to ask first.
+    pub seeds: Vec<SocketAddrV4>,
+    /// URLs of the platform's store.
+    pub store_endpoints: Vec<String>,
+    /// Mutual TLS.
+    pub tls: NodeTls,
+    /// File of the shared secrets.
+    pub keys_file: PathBuf,
+    /// Threads that forward datagrams.
+    pub forward_threads: usize,
+    /// Longest wait at a planned stop for the fabric to send elsewhere, in milliseconds.
+    pub stop_ms: u64,
+    /// Log.
+    pub log: LogSettings,
+    /// File for a trace of inputs, for tests.
+    pub trace_path: Option<PathBuf>,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Availability zone of this host.
+    pub availability_zone: String,
+    /// Address for datagrams from balancers and agents.
+    pub data_address: SocketAddrV4,
+    /// Address of the admin interface and of the target's local interface.
+    pub admin_address: SocketAddrV4,
+    /// Address of the fabric, to which answers go.
+    pub fabric_address: SocketAddr,
+    /// Control addresses of balancers to report to first.
+    pub seeds: Vec<SocketAddrV4>,
+    /// URLs of the platform's store, to find balancers when no seed answers.
+    pub store_endpoints: Vec<String>,
+    /// Mutual TLS.
+    pub tls: NodeTls,
+    /// Certificate shown to callers.
+    pub caller_tls: CertificateFiles,
+    /// File of the shared secrets.
+    pub keys_file: PathBuf,
+    /// Time after which a target that does not renew is gone, in milliseconds.
+    pub target_term_ms: u64,
+    /// Longest wait at a planned stop for running requests, in milliseconds.
+    pub stop_ms: u64,
+    /// Log.
+    pub log: LogSettings,
+    /// File for a trace of inputs, for tests.
+    pub trace_path: Option<PathBuf>,
+}
+
+/// Settings of the operators' tool.
+#[derive(Clone, Debug)]
+pub struct OperatorSettings {
+    /// URLs of the platform's store.
+    pub store_endpoints: Vec<String>,
+    /// Admin addresses of balancers to ask for status.
+    pub admin_seeds: Vec<SocketAddrV4>,
+}
+
+impl BalancerSettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<BalancerSettings> {
+        read_file(path, read_balancer)
+    }
+}
+
+impl AgentSettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<AgentSettings> {
+        read_file(path, read_agent)
+    }
+}
+
+impl OperatorSettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<OperatorSettings> {
+        read_file(path, read_operator)
+    }
+}
+
+fn read_file<T>(path: &Path, read: impl FnOnce(&Section<'_>) -> Option<T>) -> Result<T> {
+    let document = Document::open(path).map_err(|fault| Error::Invalid { faults: vec![fault] })?;
+    document.read(read).or_else(|faults| InvalidSnafu { faults }.fail())
+}
+
+fn read_balancer(section: &Section<'_>) -> Option<BalancerSettings> {
+    let availability_zone = section.name("availability_zone");
+    let data_address = section.address_v4("data_address");
+    let control_address = section.address_v4("control_address");
+    let admin_address = section.address_v4("admin_address");
+    let seeds = section.addresses_v4("seeds");
+    let store_endpoints = read_endpoints(section, true);
+    let tls = section.section("tls", read_node_tls);
+    let keys_file = section.path("keys_file");
+    let forward_threads = section.number("forward_threads", 1..=64, Some(1));
+    let stop_ms = section.number("stop_ms", 0..=MAX_STOP_MS, Some(10_000));
+    let log = section.optional_section("log", LogSettings::default(), read_log);
+    let trace_path = section.optional_path("trace_path");
+    report_shared_addresses(
+        section,
+        &[
+            ("data_address", data_address),
+            ("control_address", control_address),
+            ("admin_address", admin_address),
+        ],
+    );
+    Some(BalancerSettings {
+        availability_zone: availability_zone?,
+        data_address: data_address?,
+        control_address: control_address?,
+        admin_address: admin_address?,
+        seeds: seeds?,
+        store_endpoints: store_endpoints?,
+        tls: tls?,
+        keys_file: keys_file?,
+        forward_threads: forward_threads? as usize,
+        stop_ms: stop_ms?,
+        log: log?,
+        trace_path,
+    })
+}
+
+fn read_agent(section: &Section<'_>) -> Option<AgentSettings> {
+    let availability_zone = section.name("availability_zone");
+    let data_address = section.address_v4("data_address");
+    let admin_address = section.address_v4("admin_address");
+    let fabric_address = section.address("fabric_address");
+    let seeds = section.addresses_v4("seeds");
+    let store_endpoints = read_endpoints(section, false);
+    let tls = section.section("tls", read_node_tls);
+    let caller_tls = section.section("caller_tls", read_certificate);
+    let keys_file = section.path("keys_file");
+    let target_term_ms = section.number("target_term_ms", 500..=60_000, Some(3_000));
+    let stop_ms = section.number("stop_ms", 0..=MAX_STOP_MS, Some(MAX_STOP_MS));
+    let log = section.optional_section("log", LogSettings::default(), read_log);
+    let trace_path = section.optional_path("trace_path");
+    report_shared_addresses(
+        section,
+        &[("data_address", data_address), ("admin_address", admin_address)],
+    );
+    Some(AgentSettings {
+        availability_zone: availability_zone?,
+        data_address: data_address?,
+        admin_address: admin_address?,
+        fabric_address: fabric_address?,
+        seeds: seeds?,
+        store_endpoints: store_endpoints?,
+        tls: tls?,
+        caller_tls: caller_tls?,
+        keys_file: keys_file?,
+        target_term_ms: target_term_ms?,
+        stop_ms: stop_ms?,
+        log: log?,
+        trace_path,
+    })
+}
+
+fn read_operator(section: &Section<'_>) -> Option<OperatorSettings> {
+    let store_endpoints = read_endpoints(section, true);
+    let admin_seeds = section.addresses_v4("admin_seeds");
+    Some(OperatorSettings { store_endpoints: store_endpoints?, admin_seeds: admin_seeds? })
+}
+
+fn read_endpoints(section: &Section<'_>, required: bool) -> Option<Vec<String>> {
+    let endpoints = section.texts("store_endpoints")?;
+    if required && endpoints.is_empty() {
+        section.fault("store_endpoints", "must name at least one URL".to_owned());
+        return None;
+    }
+    for endpoint in &endpoints {
+        if !endpoint.starts_with("http://") && !endpoint.starts_with("https://") {
+            let allowed = "must be URLs, as \"http://10.0.0.1:2379\"";
+            section.fault("store_endpoints", format!("{allowed}, not {endpoint:?}"));
+            return None;
+        }
+    }
+    Some(endpoints)
+}
+
+fn read_node_tls(section: &Section<'_>) -> Option<NodeTls> {
+    let authority = section.path("authority");
+    let node = read_certificate(section);
+    Some(NodeTls { authority: authority?, node: node? })
+}
+
+fn read_certificate(section: &Section<'_>) -> Option<CertificateFiles> {
+    let certificate = section.path("certificate");
+    let private_key = section.path("private_key");
+    Some(CertificateFiles { certificate: certificate?, private_key: private_key? })
+}
+
+fn read_log(section: &Section<'_>) -> Option<LogSettings> {
+    let format = section.choice("format", &["text", "json"], "text");
+    let level = section.choice("level", &["error", "warn", "info", "debug", "trace"], "info");
+    let format = match format?.as_str() {
+        "json" => LogFormat::Json,
+        _ => LogFormat::Text,
+    };
+    Some(LogSettings { format, level: level?.parse().ok()? })
+}
+
+fn report_shared_addresses(section: &Section<'_>, addresses: &[(&str, Option<SocketAddrV4>)]) {
+    let mut seen: IndexMap<SocketAddrV4, &str> = IndexMap::new();
+    for (key, address) in addresses {
+        let Some(address) = address else {
+            continue;
+        };
+        if let Some(other) = seen.get(address) {
+            section.fault(key, format!("is the same address as {other}"));
+        } else {
+            seen.insert(*address, key);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/signals.rs
@@ -0,0 +1,36 @@
+//! SIGTERM and SIGINT: the first asks for a planned stop, the second ends at once.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::flag;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::error::EXIT_FAILURE;
+use crate::log_event;
+use crate::process::events::Event;
+
+/// Waits for the first signal and arms the second one.
+pub async fn wait_for_stop() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    arm_second_signal()?;
+    log_event!(Event::Stopping);
+    Ok(())
+}
+
+fn arm_second_signal() -> io::Result<()> {
+    let armed = Arc::new(AtomicBool::new(true));
+    for number in [SIGTERM, SIGINT] {
+        flag::register_conditional_shutdown(number, EXIT_FAILURE, Arc::clone(&armed))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/process/status.rs
@@ -0,0 +1,236 @@
+//! Status for operators: which node has which configuration in force.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::process::configuration::CONFIGURATION_PREFIX;
+use crate::process::configuration::parse_record;
+use crate::process::store::Store;
+use crate::version::record::Record;
+use crate::version::records::configuration_digest;
+
+/// Longest wait for one node.
+const NODE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Nodes asked at once.
+const NODES_AT_ONCE: usize = 64;
+
+/// Answer of one balancer.
+#[derive(Clone, Debug, Deserialize)]
+struct BalancerStatus {
+    node: String,
+    availability_zone: String,
+    unready_reason: Option<String>,
+    configuration_revision: u64,
+    configuration_digest: String,
+    balancers: Vec<BalancerEntry>,
+    targets: Vec<TargetEntry>,
+    kept: Vec<KeptEntry>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct BalancerEntry {
+    admin: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct TargetEntry {
+    agent: String,
+    service: String,
+    availability_zone: String,
+    phase: String,
+    lost: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct KeptEntry {
+    agent: String,
+    lags: bool,
+}
+
+/// One node in the status.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct NodeStatus {
+    /// Role: balancer or agent.
+    pub role: &'static str,
+    /// Address that identifies the node.
+    pub node: String,
+    /// Availability zone.
+    pub availability_zone: String,
+    /// What it does now.
+    pub state: String,
+    /// Revision in force; `None` where only the fingerprint is known.
+    pub revision: Option<u64>,
+    /// Whether it does not have all that the store holds.
+    pub lags: bool,
+}
+
+/// Status of the system.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// Revision of the newest configuration in the store; `None` where the store does not answer.
+    pub store_revision: Option<u64>,
+    /// Availability zones that are out.
+    pub zones_out: Vec<String>,
+    /// Nodes.
+    pub nodes: Vec<NodeStatus>,
+    /// Admin addresses that did not answer.
+    pub unreachable: Vec<String>,
+}
+
+impl Status {
+    /// Whether every node answers and has all that the store holds.
+    pub fn is_current(&self) -> bool {
+        self.store_revision.is_some()
+            && self.unreachable.is_empty()
+            && !self.nodes.iter().any(|node| node.lags)
+    }
+
+    /// Status as text for people.
+    pub fn to_text(&self) -> String {
+        let mut lines = Vec::new();
+        match self.store_revision {
+            Some(revision) => lines.push(format!("store: revision {revision}")),
+            None => lines.push("store: no answer".to_owned()),
+        }
+        if !self.zones_out.is_empty() {
+            lines.push(format!("zones out: {}", self.zones_out.join(", ")));
+        }
+        for node in &self.nodes {
+            let revision = node.revision.map_or(String::new(), |revision| format!(" {revision}"));
+            let lags = if node.lags { "LAGS" } else { "in force" };
+            lines.push(format!(
+                "{:<9} {:<21} {:<16} {:<9}{revision} {}",
+                node.role, node.node, node.availability_zone, lags, node.state,
+            ));
+        }
+        for address in &self.unreachable {
+            lines.push(format!("no answer from {address}"));
+        }
+        lines.join("\n") + "\n"
+    }
+}
+
+/// Asks the store and all balancers.
+pub async fn collect(store: &dyn Store, seeds: &[SocketAddrV4]) -> Result<Status> {
+    let snapshot = store.range(CONFIGURATION_PREFIX).await.ok();
+    let records: Option<Vec<Record>> =
+        snapshot.map(|snapshot| snapshot.values.iter().filter_map(parse_record).collect());
+    let mut status = Status {
+        store_revision: records.as_ref().map(|records| newest(records)),
+        zones_out: records.as_deref().map_or_else(Vec::new, zones_out),
+        nodes: Vec::new(),
+        unreachable: Vec::new(),
+    };
+    let digest = records.map(|records| format!("{:016x}", configuration_digest(records.iter())));
+    let answers = ask_all(seeds, &mut status.unreachable).await;
+    if answers.is_empty() {
+        let message = "no balancer answers; set admin_seeds".to_owned();
+        return Err(Error::Admin { message });
+    }
+    for answer in answers.values() {
+        status.nodes.push(balancer_node(answer, digest.as_deref()));
+    }
+    status.nodes.extend(agent_nodes(answers.values()));
+    status.nodes.sort_by(|a, b| (b.role, &a.node).cmp(&(a.role, &b.node)));
+    Ok(status)
+}
+
+async fn ask_all(
+    seeds: &[SocketAddrV4],
+    unreachable: &mut Vec<String>,
+) -> IndexMap<SocketAddrV4, BalancerStatus> {
+    let client = reqwest::Client::new();
+    let mut answers = IndexMap::new();
+    let mut asked: IndexSet<SocketAddrV4> = IndexSet::new();
+    let mut due: Vec<SocketAddrV4> = seeds.to_vec();
+    while !due.is_empty() {
+        asked.extend(due.iter().copied());
+        let round: Vec<_> = stream::iter(due.drain(..))
+            .map(|address| ask(&client, address))
+            .buffer_unordered(NODES_AT_ONCE)
+            .collect()
+            .await;
+        for (address, answer) in round {
+            let Some(answer) = answer else {
+                unreachable.push(address.to_string());
+                continue;
+            };
+            let new = answer.balancers.iter().map(|balancer| balancer.admin);
+            due.extend(new.filter(|admin| !asked.contains(admin)));
+            answers.insert(address, answer);
+        }
+        due.sort_unstable();
+        due.dedup();
+    }
+    answers
+}
+
+async fn ask(
+    client: &reqwest::Client,
+    address: SocketAddrV4,
+) -> (SocketAddrV4, Option<BalancerStatus>) {
+    let request = client.get(format!("http://{address}/status")).timeout(NODE_TIMEOUT);
+    let Ok(response) = request.send().await else {
+        return (address, None);
+    };
+    (address, response.json().await.ok())
+}
+
+fn balancer_node(answer: &BalancerStatus, digest: Option<&str>) -> NodeStatus {
+    NodeStatus {
+        role: "balancer",
+        node: answer.node.clone(),
+        availability_zone: answer.availability_zone.clone(),
+        state: answer.unready_reason.clone().unwrap_or_else(|| "ready".to_owned()),
+        revision: Some(answer.configuration_revision),
+        lags: digest.is_some_and(|digest| digest != answer.configuration_digest),
+    }
+}
+
+fn agent_nodes<'a>(answers: impl Iterator<Item = &'a BalancerStatus>) -> Vec<NodeStatus> {
+    let mut nodes: IndexMap<String, NodeStatus> = IndexMap::new();
+    let mut current: IndexSet<String> = IndexSet::new();
+    for answer in answers {
+        for target in &answer.targets {
+            let state = if target.lost { "lost" } else { &target.phase };
+            nodes.entry(target.agent.clone()).or_insert_with(|| NodeStatus {
+                role: "agent",
+                node: target.agent.clone(),
+                availability_zone: target.availability_zone.clone(),
+                state: format!("{state} {}", target.service),
+                revision: None,
+                lags: !target.lost && target.phase != "gone",
+            });
+        }
+        let kept = answer.kept.iter().filter(|kept| !kept.lags);
+        current.extend(kept.map(|kept| kept.agent.clone()));
+    }
+    for agent in current {
+        if let Some(node) = nodes.get_mut(&agent) {
+            node.lags = false;
+        }
+    }
+    nodes.into_values().collect()
+}
+
+fn newest(records: &[Record]) -> u64 {
+    records.iter().map(|record| record.order().major).max().unwrap_or(0)
+}
+
+fn zones_out(records: &[Record]) -> Vec<String> {
+    let out = |record: &Record| match record {
+        Record::Zone(zone) if zone.out => Some(zone.name.clone()),
+        _ => None,
+    };
+    records.iter().filter_map(out).collect()
+}
--- /dev/null
+++ b/src/process/store_reader.rs
@@ -0,0 +1,207 @@
+//! Reading of the configuration by the few balancers that watch the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::log_event;
+use crate::process::balancer::BalancerShared;
+use crate::process::configuration::CONFIGURATION_PREFIX;
+use crate::process::configuration::CONTACT_PREFIX;
+use crate::process::configuration::parse_record;
+use crate::process::events::Event;
+use crate::process::metrics::count;
+use crate::process::store::Put;
+use crate::process::store::Store;
+use crate::process::store::StoreError;
+use crate::process::store::StoreValue;
+use crate::version::record::Record;
+
+/// Balancers of each zone that watch the store.
+pub const READERS_PER_ZONE: usize = 3;
+
+/// Time between two looks at whether to watch.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time a watch goes without a look at whether it is still wanted.
+const WATCH_SLICE: Duration = Duration::from_secs(2);
+
+/// Shortest and longest wait after a failure, in milliseconds.
+const BACKOFF_MS: (u64, u64) = (250, 8_000);
+
+/// Longest random wait of a balancer that is no reader and knows nothing, in milliseconds.
+const NEWCOMER_WAIT_MS: u64 = 5_000;
+
+/// Lifetime of the contact keys, in seconds.
+const CONTACT_TTL_S: u32 = 60;
+
+/// Time between two renewals of the contact key.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Store calls that may be made at once, and the time in which one more is allowed.
+const CALL_BURST: u32 = 10;
+const CALL_REFILL: Duration = Duration::from_millis(500);
+
+/// Bounds the calls of one node to the store (token bucket).
+struct CallBudget {
+    tokens: u32,
+    refilled_at: tokio::time::Instant,
+}
+
+impl CallBudget {
+    fn new() -> CallBudget {
+        CallBudget { tokens: CALL_BURST, refilled_at: tokio::time::Instant::now() }
+    }
+
+    async fn take(&mut self) {
+        loop {
+            let periods = self.refilled_at.elapsed().as_millis() / CALL_REFILL.as_millis();
+            if periods > 0 {
+                self.tokens = CALL_BURST.min(self.tokens.saturating_add(periods as u32));
+                self.refilled_at = tokio::time::Instant::now();
+            }
+            if self.tokens > 0 {
+                self.tokens -= 1;
+                return;
+            }
+            sleep(CALL_REFILL).await;
+        }
+    }
+}
+
+/// Watches the store while this balancer is a reader.
+pub async fn run(shared: Arc<BalancerShared>, store: Arc<dyn Store>) {
+    let mut budget = CallBudget::new();
+    let mut failures = 0;
+    let mut was_reader = false;
+    loop {
+        let is_reader = shared.with_peer(|peer| peer.is_store_reader(READERS_PER_ZONE));
+        if is_reader != was_reader {
+            was_reader = is_reader;
+            log_event!(Event::StoreReaderChanged, "reader={is_reader}");
+        }
+        if !is_reader && !wants_first_configuration(&shared).await {
+            sleep(REVIEW_INTERVAL).await;
+            continue;
+        }
+        budget.take().await;
+        match read_and_watch(&shared, store.as_ref(), is_reader).await {
+            Ok(()) => failures = 0,
+            Err(error) => {
+                failures += 1;
+                note_failure(&shared, &error, failures);
+                sleep(backoff(failures)).await;
+            }
+        }
+    }
+}
+
+/// Keeps the control address of the first balancer of each zone in the store, for newcomers.
+pub async fn keep_contact(shared: Arc<BalancerShared>, store: Arc<dyn Store>) {
+    let mut lease = None;
+    loop {
+        if shared.with_peer(|peer| peer.is_store_reader(1)) {
+            lease = renew_contact(&shared, store.as_ref(), lease).await;
+        }
+        sleep(CONTACT_INTERVAL).await;
+    }
+}
+
+/// A balancer that has heard nothing reads the store itself after a random wait.
+async fn wants_first_configuration(shared: &BalancerShared) -> bool {
+    if shared.with_peer(|peer| peer.is_configured()) {
+        return false;
+    }
+    let wait_ms = rand::rng().random_range(0..NEWCOMER_WAIT_MS);
+    sleep(Duration::from_millis(wait_ms)).await;
+    !shared.with_peer(|peer| peer.is_configured())
+}
+
+async fn read_and_watch(
+    shared: &BalancerShared,
+    store: &dyn Store,
+    is_reader: bool,
+) -> Result<(), StoreError> {
+    shared.metrics().store_calls.inc();
+    let snapshot = store.range(CONFIGURATION_PREFIX).await?;
+    take_values(shared, &snapshot.values, true);
+    shared.note_store_answer();
+    if !is_reader {
+        return Ok(());
+    }
+    read_contacts(shared, store).await?;
+    shared.metrics().store_calls.inc();
+    let mut watch = store.watch(CONFIGURATION_PREFIX, snapshot.revision + 1).await?;
+    while shared.with_peer(|peer| peer.is_store_reader(READERS_PER_ZONE)) {
+        if let Ok(values) = timeout(WATCH_SLICE, watch.next()).await {
+            take_values(shared, &values?, false);
+            shared.note_store_answer();
+        }
+    }
+    Ok(())
+}
+
+async fn read_contacts(shared: &BalancerShared, store: &dyn Store) -> Result<(), StoreError> {
+    shared.metrics().store_calls.inc();
+    let contacts = store.range(CONTACT_PREFIX).await?;
+    for value in &contacts.values {
+        let address = value.key.strip_prefix(CONTACT_PREFIX).and_then(|text| text.parse().ok());
+        if let Some(address) = address {
+            shared.change_peer(|peer| peer.add_seed(address));
+        }
+    }
+    Ok(())
+}
+
+fn take_values(shared: &BalancerShared, values: &[StoreValue], whole: bool) {
+    let mut records: Vec<Record> = Vec::with_capacity(values.len());
+    for value in values {
+        match parse_record(value) {
+            Some(record) => records.push(record),
+            None => log_event!(Event::StoreValueInvalid, "key={}", value.key),
+        }
+    }
+    shared.change_peer(|peer| peer.read_from_store(&records, whole));
+}
+
+async fn renew_contact(
+    shared: &BalancerShared,
+    store: &dyn Store,
+    lease: Option<i64>,
+) -> Option<i64> {
+    if let Some(lease) = lease {
+        shared.metrics().store_calls.inc();
+        if store.keep_lease(lease).await == Ok(true) {
+            return Some(lease);
+        }
+    }
+    shared.metrics().store_calls.inc();
+    let lease = store.grant_lease(CONTACT_TTL_S).await.ok()?;
+    let control = shared.settings().control_address;
+    let key = format!("{CONTACT_PREFIX}{control}");
+    let put = Put { key, value: Vec::new(), lease: Some(lease) };
+    shared.metrics().store_calls.inc();
+    store.transaction(&[], &[put]).await.ok()?;
+    Some(lease)
+}
+
+fn note_failure(shared: &BalancerShared, error: &StoreError, failures: u32) {
+    let reason = match error {
+        StoreError::Unreachable { .. } => "unreachable",
+        StoreError::NoAnswer { .. } => "no-answer",
+        StoreError::Refused { .. } => "refused",
+        StoreError::Compacted => "compacted",
+    };
+    count(&shared.metrics().store_failures, reason);
+    log_event!(Event::StoreFailed, "{error} failures={failures}");
+}
+
+/// Waits longer with each failure, at random, so that nodes do not come back together.
+fn backoff(failures: u32) -> Duration {
+    let (low, high) = BACKOFF_MS;
+    let longest = high.min(low << failures.min(6));
+    Duration::from_millis(rand::rng().random_range(low..=longest))
+}
--- /dev/null
+++ b/src/request/deadline.rs
@@ -0,0 +1,22 @@
+//! The deadline of one request, carried as the time that remains.
+
+/// Request header with the milliseconds that remain.
+pub const DEADLINE_HEADER: &str = "rhubarbthread-deadline-ms";
+
+/// Longest deadline that a caller may ask for, in milliseconds (one day).
+pub const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Reads the deadline of a request.
+///
+/// `header` is the text of [`DEADLINE_HEADER`], `default_ms` the service's own deadline. Returns
+/// milliseconds from now, or `None` where the header is not a number in range.
+pub fn remaining_ms(header: Option<&str>, default_ms: u64) -> Option<u64> {
+    let Some(text) = header else {
+        return Some(default_ms);
+    };
+    let asked_ms: u64 = text.parse().ok()?;
+    if asked_ms > MAX_DEADLINE_MS {
+        return None;
+    }
+    Some(asked_ms)
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives as long as one request. No I/O, no clock, no task.
+
+pub mod admission;
+pub mod deadline;
+pub mod ticket;
+pub mod ticket_book;
+pub mod verdict;
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,12 @@
+//! What is known in one version, and how versions merge. No I/O, no clock, no task.
+
+pub mod digest;
+pub mod hash;
+pub mod keeper;
+pub mod message;
+pub mod peer;
+pub mod record;
+pub mod records;
+pub mod rendezvous;
+pub mod service;
+pub mod table;
--- /dev/null
+++ b/src/version/table.rs
@@ -0,0 +1,225 @@
+//! What the forwarding path needs of one version of the records.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use crate::connection::datagram;
+use crate::connection::datagram::Head;
+use crate::connection::envelope::MAX_CHAIN;
+use crate::connection::tag::Tag;
+use crate::connection::tag::TagKeys;
+use crate::version::hash::hash64;
+use crate::version::hash::hash64_with_seed;
+use crate::version::hash::zone_fingerprint;
+use crate::version::record::TargetRecord;
+use crate::version::records::Records;
+use crate::version::records::takes_new_flows;
+use crate::version::rendezvous;
+use crate::version::rendezvous::Candidate;
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Drop {
+    /// The destination is no service's address.
+    UnknownService,
+    /// The datagram is not QUIC.
+    NotQuic,
+    /// A short header without a valid tag.
+    BadTag,
+    /// The tag is of another service than the destination address.
+    OtherService,
+    /// The availability zone of the target is out.
+    ZoneOut,
+    /// A long header that may not open a flow.
+    NotAnOpening,
+    /// The service has no target that takes new flows.
+    NoTarget,
+}
+
+impl Drop {
+    /// All reasons, for metrics and docs.
+    pub const ALL: [Drop; 7] = [
+        Drop::UnknownService,
+        Drop::NotQuic,
+        Drop::BadTag,
+        Drop::OtherService,
+        Drop::ZoneOut,
+        Drop::NotAnOpening,
+        Drop::NoTarget,
+    ];
+
+    /// Label of this reason in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Drop::UnknownService => "unknown-service",
+            Drop::NotQuic => "not-quic",
+            Drop::BadTag => "bad-tag",
+            Drop::OtherService => "other-service",
+            Drop::ZoneOut => "zone-out",
+            Drop::NotAnOpening => "not-an-opening",
+            Drop::NoTarget => "no-target",
+        }
+    }
+}
+
+/// What a balancer does with a datagram.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Forward {
+    /// Send it unchanged to the agent that ends the flow.
+    Established(SocketAddrV4),
+    /// Send it with these candidates to the first of them.
+    Opening(Vec<SocketAddrV4>),
+    /// Drop it.
+    Drop(Drop),
+}
+
+#[derive(Clone, Debug)]
+struct TargetEntry {
+    data: SocketAddrV4,
+    id: u64,
+    weight: u32,
+    zone: String,
+}
+
+#[derive(Clone, Debug)]
+struct ServiceEntry {
+    number: u16,
+    targets: Vec<TargetEntry>,
+}
+
+impl ServiceEntry {
+    fn new(number: u16) -> ServiceEntry {
+        ServiceEntry { number, targets: Vec::new() }
+    }
+}
+
+/// Services by address, with the targets that take new flows.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    services: IndexMap<SocketAddr, ServiceEntry>,
+    zones_out: Vec<u16>,
+}
+
+impl Table {
+    /// Builds the table from the records of one version.
+    ///
+    /// Established flows still go to the zones in `draining`, which were taken out a moment ago.
+    pub fn new(records: &Records, draining: &[String]) -> Table {
+        let zones_out =
+            records.zones().filter(|zone| zone.out && !draining.contains(&zone.name));
+        let mut table = Table {
+            services: IndexMap::new(),
+            zones_out: zones_out.map(|zone| zone_fingerprint(&zone.name)).collect(),
+        };
+        let mut names = IndexMap::new();
+        // A removed service keeps its established flows until its address is used again.
+        for service in records.services().filter(|service| service.removed) {
+            table.services.insert(service.address, ServiceEntry::new(service.number));
+        }
+        for service in records.services().filter(|service| !service.removed) {
+            table.services.insert(service.address, ServiceEntry::new(service.number));
+            names.insert(service.name.as_str(), service);
+        }
+        for target in records.targets().filter(|target| takes_new_flows(target)) {
+            let Some(service) = names.get(target.service.as_str()) else {
+                continue;
+            };
+            let zone_fits = service.zones.is_empty() || service.zones.contains(&target.zone);
+            if zone_fits && !records.is_zone_out(&target.zone) {
+                table.services[&service.address].targets.push(target_entry(target));
+            }
+        }
+        table
+    }
+
+    /// Decides on one datagram from `source` to the service address `destination`.
+    pub fn route(
+        &self,
+        keys: &TagKeys,
+        source: SocketAddr,
+        destination: SocketAddr,
+        datagram: &[u8],
+    ) -> Forward {
+        let Some(service) = self.services.get(&destination) else {
+            return Forward::Drop(Drop::UnknownService);
+        };
+        match datagram::parse_head(datagram) {
+            Err(_) => Forward::Drop(Drop::NotQuic),
+            Ok(Head::Short { connection_id }) => match keys.open(connection_id) {
+                Some(tag) => self.route_tagged(service, &tag),
+                None => Forward::Drop(Drop::BadTag),
+            },
+            Ok(Head::Long { connection_id }) => match keys.open(connection_id) {
+                Some(tag) => self.route_tagged(service, &tag),
+                None => route_opening(service, source, connection_id, datagram.len()),
+            },
+        }
+    }
+
+    /// Candidates for a flow with this hash; empty where the service or its targets are unknown.
+    pub fn chain(&self, service: SocketAddr, flow_hash: u64) -> Vec<SocketAddrV4> {
+        self.services.get(&service).map_or_else(Vec::new, |service| chain(service, flow_hash))
+    }
+
+    fn route_tagged(
+        &self,
+        service: &ServiceEntry,
+        tag: &Tag,
+    ) -> Forward {
+        if tag.service != service.number {
+            return Forward::Drop(Drop::OtherService);
+        }
+        if self.zones_out.contains(&tag.zone) {
+            return Forward::Drop(Drop::ZoneOut);
+        }
+        Forward::Established(tag.agent)
+    }
+}
+
+/// Hash of a flow that is being opened.
+pub fn flow_hash(source: SocketAddr, connection_id: &[u8]) -> u64 {
+    let port = u64::from(source.port());
+    let ip = match source.ip() {
+        IpAddr::V4(ip) => hash64(&ip.octets()),
+        IpAddr::V6(ip) => hash64(&ip.octets()),
+    };
+    hash64_with_seed(connection_id, ip.wrapping_add(port))
+}
+
+fn route_opening(
+    service: &ServiceEntry,
+    source: SocketAddr,
+    connection_id: &[u8],
+    datagram_bytes: usize,
+) -> Forward {
+    if !datagram::may_open(connection_id, datagram_bytes) {
+        return Forward::Drop(Drop::NotAnOpening);
+    }
+    let chain = chain(service, flow_hash(source, connection_id));
+    if chain.is_empty() {
+        return Forward::Drop(Drop::NoTarget);
+    }
+    Forward::Opening(chain)
+}
+
+fn chain(service: &ServiceEntry, flow_hash: u64) -> Vec<SocketAddrV4> {
+    let candidate = |target| {
+        let TargetEntry { id, weight, zone, .. }: &TargetEntry = target;
+        Candidate { id: *id, weight: *weight, zone }
+    };
+    let candidates: Vec<Candidate<'_>> = service.targets.iter().map(candidate).collect();
+    let chosen = rendezvous::choose(flow_hash, &candidates, MAX_CHAIN);
+    chosen.into_iter().map(|index| service.targets[index].data).collect()
+}
+
+fn target_entry(target: &TargetRecord) -> TargetEntry {
+    TargetEntry {
+        data: target.data,
+        id: hash64(target.data.to_string().as_bytes()),
+        weight: target.connections.max(1),
+        zone: target.zone.clone(),
+    }
+}
--- /dev/null
+++ b/standins/src/fabric.rs
@@ -0,0 +1,247 @@
+//! Stand-in for the fabric: hands each datagram of a caller to any live balancer, and can drop,
+//! duplicate, reorder and delay.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rhubarbthread::connection::envelope;
+use rhubarbthread::connection::envelope::Route;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// Time between two probes of the balancers.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Extra delay of a reordered datagram.
+const REORDER_DELAY: Duration = Duration::from_millis(5);
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 4_096;
+
+/// A balancer as the fabric knows it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct BalancerAddress {
+    /// Address for datagrams.
+    pub data: SocketAddrV4,
+    /// Address to probe.
+    pub admin: SocketAddrV4,
+}
+
+/// Faults that the fabric shows.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct FabricFaults {
+    /// Datagrams dropped, in thousandths.
+    pub drop_permille: u32,
+    /// Datagrams sent twice, in thousandths.
+    pub duplicate_permille: u32,
+    /// Datagrams held back a little, in thousandths.
+    pub reorder_permille: u32,
+    /// Delay of each datagram, in microseconds.
+    pub delay_us: u64,
+    /// Whether balancers are probed; without it all are taken as live.
+    pub ignore_probes: bool,
+}
+
+/// Set-up of the fabric.
+#[derive(Clone, Debug)]
+pub struct FabricPlan {
+    /// Address for envelopes from agents.
+    pub listen: SocketAddrV4,
+    /// Service addresses.
+    pub services: Vec<SocketAddr>,
+    /// Balancers.
+    pub balancers: Vec<BalancerAddress>,
+    /// Faults.
+    pub faults: FabricFaults,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Counts by destination of what agents and balancers were handed.
+#[derive(Debug, Default)]
+pub struct FabricCounts {
+    /// Datagrams from callers.
+    pub from_callers: AtomicU64,
+    /// Datagrams to callers.
+    pub to_callers: AtomicU64,
+    /// Datagrams dropped on purpose.
+    pub dropped: AtomicU64,
+}
+
+/// The running fabric.
+pub struct Fabric {
+    envelopes: UdpSocket,
+    services: IndexMap<SocketAddr, Arc<UdpSocket>>,
+    balancers: RwLock<Vec<BalancerAddress>>,
+    live: RwLock<Vec<SocketAddrV4>>,
+    faults: RwLock<FabricFaults>,
+    random: Mutex<StdRng>,
+    /// Counts.
+    pub counts: FabricCounts,
+}
+
+impl Fabric {
+    /// Opens the sockets and starts to pass datagrams.
+    pub async fn start(plan: &FabricPlan) -> io::Result<Arc<Fabric>> {
+        let mut services = IndexMap::new();
+        for address in &plan.services {
+            services.insert(*address, Arc::new(UdpSocket::bind(address).await?));
+        }
+        let fabric = Arc::new(Fabric {
+            envelopes: UdpSocket::bind(plan.listen).await?,
+            services,
+            balancers: RwLock::new(plan.balancers.clone()),
+            live: RwLock::new(plan.balancers.iter().map(|balancer| balancer.data).collect()),
+            faults: RwLock::new(plan.faults),
+            random: Mutex::new(StdRng::seed_from_u64(plan.seed)),
+            counts: FabricCounts::default(),
+        });
+        for (address, socket) in &fabric.services {
+            let receiver = Arc::clone(&fabric).receive_from_callers(*address, Arc::clone(socket));
+            tokio::spawn(receiver);
+        }
+        tokio::spawn(Arc::clone(&fabric).receive_from_agents());
+        tokio::spawn(Arc::clone(&fabric).probe());
+        Ok(fabric)
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: FabricFaults) {
+        *self.faults.write().expect("lock is not poisoned") = faults;
+    }
+
+    /// Sets the balancers.
+    pub fn set_balancers(&self, balancers: &[BalancerAddress]) {
+        *self.balancers.write().expect("lock is not poisoned") = balancers.to_vec();
+    }
+
+    /// Balancers that receive datagrams now.
+    pub fn live(&self) -> Vec<SocketAddrV4> {
+        self.live.read().expect("lock is not poisoned").clone()
+    }
+
+    async fn receive_from_callers(self: Arc<Self>, service: SocketAddr, socket: Arc<UdpSocket>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        let mut bytes = Vec::new();
+        loop {
+            let Ok((length, caller)) = socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            self.counts.from_callers.fetch_add(1, Ordering::Relaxed);
+            envelope::encode(&Route::new(caller, service), &buffer[..length], &mut bytes);
+            for delay in self.fates() {
+                let Some(balancer) = self.pick() else {
+                    continue;
+                };
+                self.pass(bytes.clone(), delay, balancer.into()).await;
+            }
+        }
+    }
+
+    async fn pass(self: &Arc<Self>, bytes: Vec<u8>, delay: Duration, to: SocketAddr) {
+        if delay.is_zero() {
+            // A datagram that cannot be sent is lost, as in any fabric.
+            let _ = self.envelopes.send_to(&bytes, to).await;
+            return;
+        }
+        let fabric = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let _ = fabric.envelopes.send_to(&bytes, to).await;
+        });
+    }
+
+    async fn receive_from_agents(self: Arc<Self>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        loop {
+            let Ok((length, _)) = self.envelopes.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Ok((route, datagram)) = envelope::decode(&buffer[..length]) else {
+                continue;
+            };
+            let Some(socket) = self.services.get(&route.source) else {
+                continue;
+            };
+            self.counts.to_callers.fetch_add(1, Ordering::Relaxed);
+            for delay in self.fates() {
+                if delay.is_zero() {
+                    let _ = socket.send_to(datagram, route.destination).await;
+                    continue;
+                }
+                let (socket, datagram) = (Arc::clone(socket), datagram.to_vec());
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    let _ = socket.send_to(&datagram, route.destination).await;
+                });
+            }
+        }
+    }
+
+    /// Delays of the copies of one datagram; none where it is dropped.
+    fn fates(&self) -> Vec<Duration> {
+        let faults = *self.faults.read().expect("lock is not poisoned");
+        let mut random = self.random.lock().expect("lock is not poisoned");
+        let mut hits = |permille: u32| permille > 0 && random.random_range(0..1000) < permille;
+        if hits(faults.drop_permille) {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+            return Vec::new();
+        }
+        let delay = Duration::from_micros(faults.delay_us);
+        let first = if hits(faults.reorder_permille) { delay + REORDER_DELAY } else { delay };
+        let mut fates = vec![first];
+        if hits(faults.duplicate_permille) {
+            fates.push(delay);
+        }
+        fates
+    }
+
+    fn pick(&self) -> Option<SocketAddrV4> {
+        let live = self.live.read().expect("lock is not poisoned");
+        if live.is_empty() {
+            return None;
+        }
+        let index = self.random.lock().expect("lock is not poisoned").random_range(0..live.len());
+        Some(live[index])
+    }
+
+    async fn probe(self: Arc<Self>) {
+        let client = reqwest::Client::new();
+        loop {
+            let balancers = self.balancers.read().expect("lock is not poisoned").clone();
+            let ignore = self.faults.read().expect("lock is not poisoned").ignore_probes;
+            let mut ready = Vec::new();
+            for balancer in &balancers {
+                let url = format!("http://{}/ready", balancer.admin);
+                let answer = client.get(url).timeout(PROBE_TIMEOUT).send().await;
+                let is_ready = answer.is_ok_and(|answer| answer.status().is_success());
+                if is_ready || ignore {
+                    ready.push(balancer.data);
+                }
+            }
+            // With none ready the fabric sends to all, as fabrics do.
+            if ready.is_empty() {
+                ready = balancers.iter().map(|balancer| balancer.data).collect();
+            }
+            *self.live.write().expect("lock is not poisoned") = ready;
+            sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,6 @@
+//! Small stand-ins for what surrounds rhubarbthread, for tests, demonstrations and measurements.
+
+pub mod fabric;
+pub mod load;
+pub mod store;
+pub mod target;
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,266 @@
+//! Stand-in for callers: many flows with long streams and short requests, idempotent and not.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Method;
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rhubarbthread::caller::Call;
+use rhubarbthread::caller::Caller;
+use rhubarbthread::caller::CallerSettings;
+use rhubarbthread::caller::Failure;
+use rhubarbthread::process::tls;
+use rhubarbthread::request::verdict::Verdict;
+use serde::Serialize;
+use tokio::time::sleep;
+
+/// Longest latency that is told apart, in microseconds (ten minutes).
+const MAX_LATENCY_US: u64 = 600_000_000;
+
+/// Digits of latency kept.
+const HISTOGRAM_DIGITS: u8 = 3;
+
+/// What load to make.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Service addresses; callers are spread over them.
+    pub services: Vec<SocketAddr>,
+    /// Certificate of the authority, PEM.
+    pub authority: PathBuf,
+    /// Name in the services' certificates.
+    pub server_name: String,
+    /// Callers with short requests.
+    pub callers: usize,
+    /// Requests of each of them.
+    pub requests: usize,
+    /// Time between two requests of a caller, in milliseconds.
+    pub pause_ms: u64,
+    /// Time that the target works on a request, in milliseconds.
+    pub work_ms: u64,
+    /// Callers with one long stream each.
+    pub streams: usize,
+    /// Lines of each stream.
+    pub stream_chunks: u64,
+    /// Time between two lines, in milliseconds.
+    pub stream_ms: u64,
+    /// Requests that are not idempotent, in percent.
+    pub once_percent: u32,
+    /// Deadline of each request.
+    pub deadline: Duration,
+    /// Retries per hundred requests.
+    pub retry_budget_percent: u32,
+    /// Seed of the mix.
+    pub seed: u64,
+    /// Prefix of the request ids.
+    pub id_prefix: String,
+}
+
+/// What became of the load.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoadReport {
+    /// Requests and streams asked for.
+    pub requests: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Answers that were not the caller's own, or not whole. Must be 0.
+    pub wrong: u64,
+    /// Calls refused with `NotRun`.
+    pub not_run: u64,
+    /// Calls that ended with `MayHaveRun`.
+    pub may_have_run: u64,
+    /// Streams that broke after they had begun.
+    pub broken_flows: u64,
+    /// Reasons of failures.
+    pub reasons: IndexMap<String, u64>,
+    /// Requests sent, retries included.
+    pub sent: u64,
+    /// Retries that the budget refused.
+    pub out_of_budget: u64,
+    /// Median latency of whole answers, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+    /// Longest, in milliseconds.
+    pub max_ms: f64,
+    /// Whole answers in each 100 ms since the start.
+    pub answers_per_100_ms: Vec<u64>,
+    /// Duration, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// A load that is running, whose counts can be read.
+pub struct Load {
+    plan: LoadPlan,
+    report: Mutex<LoadReport>,
+    latency_us: Mutex<Histogram<u64>>,
+    start: Instant,
+}
+
+impl Load {
+    /// Creates a load; nothing is sent yet.
+    pub fn new(plan: LoadPlan) -> Arc<Load> {
+        let latency_us = Histogram::new_with_max(MAX_LATENCY_US, HISTOGRAM_DIGITS).expect("the digits are in range");
+        Arc::new(Load {
+            plan,
+            report: Mutex::default(),
+            latency_us: Mutex::new(latency_us),
+            start: Instant::now(),
+        })
+    }
+
+    /// Runs to the end.
+    pub async fn run(self: &Arc<Self>) -> LoadReport {
+        let mut tasks = Vec::new();
+        for index in 0..self.plan.callers {
+            tasks.push(tokio::spawn(Arc::clone(self).run_caller(index)));
+        }
+        for index in 0..self.plan.streams {
+            tasks.push(tokio::spawn(Arc::clone(self).run_stream(index)));
+        }
+        for task in tasks {
+            task.await.expect("a caller does not panic");
+        }
+        self.report()
+    }
+
+    /// Counts so far.
+    pub fn report(&self) -> LoadReport {
+        let mut report = self.report.lock().expect("lock is not poisoned").clone();
+        let latency = self.latency_us.lock().expect("lock is not poisoned");
+        let ms = |us: u64| us as f64 / 1000.0;
+        report.p50_ms = ms(latency.value_at_quantile(0.5));
+        report.p99_ms = ms(latency.value_at_quantile(0.99));
+        report.max_ms = ms(latency.max());
+        report.duration_ms = self.start.elapsed().as_millis() as u64;
+        report
+    }
+
+    fn caller(&self, index: usize) -> Caller {
+        let client = tls::caller_client_config(&self.plan.authority).expect("authority is right");
+        Caller::new(CallerSettings {
+            service: self.plan.services[index % self.plan.services.len()],
+            server_name: self.plan.server_name.clone(),
+            client,
+            local: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            retry_budget_percent: self.plan.retry_budget_percent,
+        })
+        .expect("a local socket opens")
+    }
+
+    async fn run_caller(self: Arc<Self>, index: usize) {
+        let mut random = StdRng::seed_from_u64(self.plan.seed.wrapping_add(index as u64));
+        let caller = self.caller(index);
+        sleep(Duration::from_millis(random.random_range(0..=self.plan.pause_ms))).await;
+        for number in 0..self.plan.requests {
+            let id = format!("{}{index}-{number}", self.plan.id_prefix);
+            let once = random.random_range(0..100) < self.plan.once_percent;
+            self.run_request(&caller, &id, once).await;
+            let pause_ms = self.plan.pause_ms;
+            sleep(Duration::from_millis(random.random_range(pause_ms / 2..=pause_ms * 3 / 2))).await;
+        }
+        self.take_counts(&caller);
+        caller.close().await;
+    }
+
+    async fn run_request(&self, caller: &Caller, id: &str, once: bool) {
+        let path = format!("/work?id={id}&ms={}", self.plan.work_ms);
+        let mut call = Call::new(&path, self.plan.deadline);
+        if once {
+            call = call.with_body(Method::POST, Bytes::from_static(b"{}"));
+        }
+        self.change(|report| report.requests += 1);
+        let start = Instant::now();
+        match caller.call(&call).await {
+            Ok(answer) if answer.body.starts_with(format!("id={id} ").as_bytes()) => {
+                self.note_whole(start);
+            }
+            Ok(answer) if answer.status.is_server_error() => {
+                self.note_failure(&Failure {
+                    verdict: Verdict::MayHaveRun,
+                    reason: "shed".to_owned(),
+                    retry_after: None,
+                });
+            }
+            Ok(_) => self.change(|report| report.wrong += 1),
+            Err(failure) => self.note_failure(&failure),
+        }
+    }
+
+    async fn run_stream(self: Arc<Self>, index: usize) {
+        let mut random = StdRng::seed_from_u64(!self.plan.seed.wrapping_add(index as u64));
+        let caller = self.caller(index);
+        sleep(Duration::from_millis(random.random_range(0..=self.plan.pause_ms.max(500)))).await;
+        let path = format!("/stream?chunks={}&ms={}", self.plan.stream_chunks, self.plan.stream_ms);
+        let call = Call::new(&path, self.plan.deadline);
+        self.change(|report| report.requests += 1);
+        let start = Instant::now();
+        match caller.stream(&call).await {
+            Ok(mut stream) => {
+                let mut body = Vec::new();
+                let broken = loop {
+                    match stream.next().await {
+                        Ok(Some(data)) => body.extend_from_slice(&data),
+                        Ok(None) => break None,
+                        Err(failure) => break Some(failure),
+                    }
+                };
+                match broken {
+                    None if body.ends_with(b"end\n") => self.note_whole(start),
+                    None => self.change(|report| report.wrong += 1),
+                    Some(failure) => {
+                        self.change(|report| report.broken_flows += 1);
+                        self.note_failure(&failure);
+                    }
+                }
+            }
+            Err(failure) => self.note_failure(&failure),
+        }
+        self.take_counts(&caller);
+        caller.close().await;
+    }
+
+    fn take_counts(&self, caller: &Caller) {
+        let counts = caller.counts();
+        self.change(|report| {
+            report.sent += counts.sent;
+            report.out_of_budget += counts.out_of_budget;
+        });
+    }
+
+    fn note_whole(&self, start: Instant) {
+        let latency_us = start.elapsed().as_micros() as u64;
+        let slot = (self.start.elapsed().as_millis() / 100) as usize;
+        self.latency_us.lock().expect("lock is not poisoned").saturating_record(latency_us);
+        self.change(|report| {
+            report.whole += 1;
+            if report.answers_per_100_ms.len() <= slot {
+                report.answers_per_100_ms.resize(slot + 1, 0);
+            }
+            report.answers_per_100_ms[slot] += 1;
+        });
+    }
+
+    fn note_failure(&self, failure: &Failure) {
+        self.change(|report| {
+            match failure.verdict {
+                Verdict::NotRun => report.not_run += 1,
+                _ => report.may_have_run += 1,
+            }
+            *report.reasons.entry(failure.reason.clone()).or_insert(0) += 1;
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut LoadReport)) {
+        change(&mut self.report.lock().expect("lock is not poisoned"));
+    }
+}
--- /dev/null
+++ b/standins/src/target.rs
@@ -0,0 +1,353 @@
+//! Stand-in for a target: slots, connections, a cold start, shedding, a process identity, and a
+//! count of requests that ran twice.
+//!
+//! Paths: `/work?id=I&ms=N` answers after N milliseconds, `/stream?chunks=N&ms=M` sends N lines, one
+//! each M milliseconds, `/standin/stats` tells the counts, `/standin/ran` the ids that ran.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// Time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time between two tries to reach the agent.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Lines of a stream that wait to be sent.
+const STREAM_BUFFER: usize = 4;
+
+/// Set-up of a target.
+#[derive(Clone, Debug)]
+pub struct TargetPlan {
+    /// Address to serve on.
+    pub listen: SocketAddr,
+    /// Admin address of the agent beside it.
+    pub agent: SocketAddrV4,
+    /// Service.
+    pub service: String,
+    /// Requests that it runs at once when warm.
+    pub slots: u32,
+    /// Connections that it holds when warm.
+    pub connections: u32,
+    /// Requests that it bears at once when cold.
+    pub first_limit: u32,
+    /// Answers after which it bears one more.
+    pub growth_answers: u32,
+    /// Whether it starts warm.
+    pub warm: bool,
+    /// Identity of the process.
+    pub process: String,
+    /// Whether requests beyond what it bears are shed, or just counted.
+    pub sheds: bool,
+}
+
+/// Counts of a target.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct TargetStats {
+    /// Identity of the process.
+    pub process: String,
+    /// Requests answered.
+    pub answers: u64,
+    /// Requests that run now.
+    pub busy: u32,
+    /// Most requests that ran at once.
+    pub peak_busy: u32,
+    /// Requests that came while it bore no more.
+    pub over_limit: u64,
+    /// Largest excess of running requests over what it bore.
+    pub worst_excess: u32,
+    /// Streams that run now.
+    pub streams: u32,
+    /// Non-idempotent requests that ran.
+    pub ran: u64,
+    /// Non-idempotent requests that ran more than once here.
+    pub ran_twice: u64,
+    /// Requests whose caller went away before the answer was done.
+    pub cut: u64,
+}
+
+struct State {
+    stats: TargetStats,
+    bears: u32,
+    answers_since: u32,
+    ran: IndexMap<String, u32>,
+    leaving: bool,
+}
+
+/// A running target.
+pub struct Target {
+    plan: TargetPlan,
+    state: Mutex<State>,
+    ended: Notify,
+    stop: tokio::sync::watch::Sender<bool>,
+}
+
+type Body = BoxBody<Bytes, Infallible>;
+
+impl Target {
+    /// Serves, announces itself and renews, in background tasks.
+    pub async fn start(plan: TargetPlan) -> io::Result<Arc<Target>> {
+        let listener = TcpListener::bind(plan.listen).await?;
+        let bears = if plan.warm { plan.slots } else { plan.first_limit };
+        let stats = TargetStats { process: plan.process.clone(), ..TargetStats::default() };
+        let state =
+            State { stats, bears, answers_since: 0, ran: IndexMap::new(), leaving: false };
+        let target = Arc::new(Target {
+            plan,
+            state: Mutex::new(state),
+            ended: Notify::new(),
+            stop: tokio::sync::watch::Sender::new(false),
+        });
+        tokio::spawn(Arc::clone(&target).accept(listener));
+        tokio::spawn(Arc::clone(&target).keep_announced());
+        Ok(target)
+    }
+
+    /// Counts so far.
+    pub fn stats(&self) -> TargetStats {
+        self.lock().stats.clone()
+    }
+
+    /// Ids of non-idempotent requests that ran, with how often.
+    pub fn ran(&self) -> IndexMap<String, u32> {
+        self.lock().ran.clone()
+    }
+
+    /// Leaves: tells the agent and waits until nothing runs.
+    pub async fn leave(&self) {
+        self.lock().leaving = true;
+        let body = json!({"process": self.plan.process});
+        self.post("leave", &body).await;
+        loop {
+            let ended = self.ended.notified();
+            let stats = self.stats();
+            if stats.busy == 0 && stats.streams == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Ends at once, as a crash does: no leave, all connections closed.
+    pub fn crash(&self) {
+        self.lock().leaving = true;
+        self.stop.send_replace(true);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("lock is not poisoned")
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut stop = self.stop.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stop.changed() => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                continue;
+            };
+            let target = Arc::clone(&self);
+            let mut stop = self.stop.subscribe();
+            tokio::spawn(async move {
+                let service = service_fn(|request| {
+                    let target = Arc::clone(&target);
+                    async move { Ok::<_, Infallible>(target.serve(request).await) }
+                });
+                let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::select! {
+                    // The agent closes connections as it likes.
+                    _ = connection => {}
+                    _ = stop.changed() => {}
+                }
+            });
+        }
+    }
+
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let query = parse_query(head.uri.query().unwrap_or(""));
+        let number = |key: &str| query.get(key).and_then(|text| text.parse().ok()).unwrap_or(0);
+        // The body only carries weight here.
+        let _ = body.collect().await;
+        match head.uri.path() {
+            "/standin/stats" => text(StatusCode::OK, json!(self.stats()).to_string()),
+            "/standin/ran" => text(StatusCode::OK, json!(self.ran()).to_string()),
+            "/stream" => self.serve_stream(number("chunks"), number("ms")),
+            "/work" => {
+                let id = query.get("id").cloned().unwrap_or_default();
+                self.serve_work(&head.method, &id, number("ms")).await
+            }
+            _ => text(StatusCode::NOT_FOUND, "no such path\n".to_owned()),
+        }
+    }
+
+    async fn serve_work(self: Arc<Self>, method: &Method, id: &str, ms: u64) -> Response<Body> {
+        if !self.take_slot() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "shed\n".to_owned());
+        }
+        let slot = Slot { target: Arc::clone(&self), done: false };
+        if !method.is_idempotent() {
+            self.note_ran(id);
+        }
+        sleep(Duration::from_millis(ms)).await;
+        slot.finish();
+        text(StatusCode::OK, format!("id={id} process={}\n", self.plan.process))
+    }
+
+    fn serve_stream(self: Arc<Self>, chunks: u64, ms: u64) -> Response<Body> {
+        let (sender, mut receiver) = mpsc::channel::<Bytes>(STREAM_BUFFER);
+        self.lock().stats.streams += 1;
+        let target = Arc::clone(&self);
+        tokio::spawn(async move {
+            for index in 1..=chunks {
+                let line = if index == chunks { "end\n".to_owned() } else { format!("{index}\n") };
+                if sender.send(Bytes::from(line)).await.is_err() {
+                    target.lock().stats.cut += 1;
+                    break;
+                }
+                sleep(Duration::from_millis(ms)).await;
+            }
+            target.lock().stats.streams -= 1;
+            target.ended.notify_waiters();
+        });
+        let frames = futures_stream(move |cx| receiver.poll_recv(cx));
+        Response::new(StreamBody::new(frames).boxed())
+    }
+
+    /// Takes a slot; false where the target sheds instead.
+    fn take_slot(&self) -> bool {
+        let mut state = self.lock();
+        let is_over = state.stats.busy >= state.bears;
+        if is_over {
+            state.stats.over_limit += 1;
+            let excess = state.stats.busy + 1 - state.bears;
+            state.stats.worst_excess = state.stats.worst_excess.max(excess);
+            if self.plan.sheds {
+                return false;
+            }
+        }
+        state.stats.busy += 1;
+        state.stats.peak_busy = state.stats.peak_busy.max(state.stats.busy);
+        true
+    }
+
+    fn note_ran(&self, id: &str) {
+        let mut state = self.lock();
+        state.stats.ran += 1;
+        let times = state.ran.entry(id.to_owned()).or_insert(0);
+        *times += 1;
+        if *times > 1 {
+            state.stats.ran_twice += 1;
+        }
+    }
+
+    fn warm_up(state: &mut State, plan: &TargetPlan) {
+        state.answers_since += 1;
+        if state.answers_since >= plan.growth_answers && state.bears < plan.slots {
+            state.answers_since = 0;
+            state.bears += 1;
+        }
+    }
+
+    async fn keep_announced(self: Arc<Self>) {
+        let announce = json!({
+            "service": self.plan.service,
+            "address": self.plan.listen,
+            "slots": self.plan.slots,
+            "connections": self.plan.connections,
+            "process": self.plan.process,
+            "warm": self.plan.warm,
+        });
+        let renew = json!({"process": self.plan.process});
+        let mut is_announced = false;
+        while !self.lock().leaving {
+            if !is_announced {
+                is_announced = self.post("announce", &announce).await;
+                sleep(if is_announced { RENEW_INTERVAL } else { RETRY_INTERVAL }).await;
+                continue;
+            }
+            is_announced = self.post("renew", &renew).await;
+            sleep(RENEW_INTERVAL).await;
+        }
+    }
+
+    async fn post(&self, operation: &str, body: &serde_json::Value) -> bool {
+        let url = format!("http://{}/v1/target/{operation}", self.plan.agent);
+        let answer = reqwest::Client::new().post(url).json(body).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+}
+
+/// A slot in use; dropped unfinished where the agent cancelled.
+struct Slot {
+    target: Arc<Target>,
+    done: bool,
+}
+
+impl Slot {
+    fn finish(mut self) {
+        self.done = true;
+        let mut state = self.target.lock();
+        state.stats.answers += 1;
+        Target::warm_up(&mut state, &self.target.plan);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut state = self.target.lock();
+        state.stats.busy -= 1;
+        state.stats.cut += u64::from(!self.done);
+        drop(state);
+        self.target.ended.notify_waiters();
+    }
+}
+
+fn futures_stream(
+    mut poll: impl FnMut(&mut std::task::Context<'_>) -> std::task::Poll<Option<Bytes>>,
+) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, Infallible>> {
+    futures_util::stream::poll_fn(move |cx| {
+        poll(cx).map(|data| data.map(|data| Ok(Frame::data(data))))
+    })
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(Full::new(Bytes::from(text)).boxed());
+    *response.status_mut() = status;
+    response
+}
+
+fn parse_query(query: &str) -> IndexMap<String, String> {
+    let pair = |part: &str| part.split_once('=').map(|(a, b)| (a.to_owned(), b.to_owned()));
+    query.split('&').filter_map(pair).collect()
+}
