Drain zones and flows; run failure tests on real processes

Cause: requests in flight were cut when a zone went out, since balancers dropped established flows before agents had heard of it, and a flow whose requests had ended was closed before its last answer was read. Ruled out: loss in the fabric (none set).

--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -58,7 +58,6 @@
 use crate::request::admission::Capacity;
 use crate::request::verdict::Refusal;
 use crate::version::hash::zone_fingerprint;
-use crate::version::peer::ZONE_DRAIN_MS;
 use crate::version::record::Phase;
 use crate::version::record::Record;
 use crate::version::record::ServiceRecord;
@@ -71,6 +70,9 @@
 /// Flows that are taken beyond the limit only to be told when to come back.
 const MAX_REFUSAL_FLOWS: u32 = 64;
 
+/// Time that running requests keep after the zone was taken out, in milliseconds.
+const FLOW_DRAIN_MS: u64 = 1_000;
+
 /// Code with which a flow is closed when its availability zone goes out.
 pub const CLOSE_ZONE_OUT: u32 = 0x5a01;
 
@@ -445,7 +447,7 @@
             return;
         }
         let since_ms = *out_since_ms.get_or_insert(self.now_ms());
-        if self.now_ms().saturating_sub(since_ms) >= ZONE_DRAIN_MS {
+        if self.now_ms().saturating_sub(since_ms) >= FLOW_DRAIN_MS {
             self.close_flows(CLOSE_ZONE_OUT, b"availability zone is out");
             self.zone_closed.store(true, Ordering::Relaxed);
         }
--- a/src/version/peer.rs
+++ b/src/version/peer.rs
@@ -54,8 +54,9 @@
 /// Time after which an ended target or balancer is forgotten, in milliseconds (one hour).
 pub const ENDED_MEMORY_MS: u64 = 3_600_000;
 
-/// Time that established flows keep after their zone was taken out, in milliseconds.
-pub const ZONE_DRAIN_MS: u64 = 1_000;
+/// Time that established flows keep after their zone was taken out, in milliseconds. It covers the
+/// time until the agents hear of it and the end of their running requests.
+pub const ZONE_DRAIN_MS: u64 = 2_200;
 
 /// Records in one message at most.
 const MAX_MESSAGE_RECORDS: usize = 4_096;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod fabric;
 pub mod load;
 pub mod store;
+pub mod system;
 pub mod target;
--- /dev/null
+++ b/standins/src/system.rs
@@ -0,0 +1,618 @@
+//! A whole system on loopback for tests and measurements: real daemons as processes, stand-ins
+//! inside the calling process.
+//!
+//! Each system has its own subnet `127.N.0.0/16`, so several can run side by side.
+
+use std::fs;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::fabric::BalancerAddress;
+use crate::fabric::Fabric;
+use crate::fabric::FabricFaults;
+use crate::fabric::FabricPlan;
+use crate::load::LoadPlan;
+use crate::store::StandinStore;
+use crate::target::Target;
+use crate::target::TargetPlan;
+
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(25);
+
+/// Longest wait for the system to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The programs under test.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// Balancer daemon.
+    pub balancer: PathBuf,
+    /// Agent daemon.
+    pub agent: PathBuf,
+    /// Operators' tool.
+    pub operator: PathBuf,
+}
+
+impl Programs {
+    /// Takes the programs that lie beside the running one.
+    pub fn beside_current_exe() -> io::Result<Programs> {
+        let exe = std::env::current_exe()?;
+        let folder = exe.parent().unwrap_or(Path::new("."));
+        Ok(Programs {
+            balancer: folder.join("rhubarbthread-balancer"),
+            agent: folder.join("rhubarbthread-agent"),
+            operator: folder.join("rhubarbthread"),
+        })
+    }
+}
+
+/// One service of a system.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    /// Name.
+    pub name: String,
+    /// Number of targets.
+    pub targets: usize,
+    /// Slots of each.
+    pub slots: u32,
+    /// Connections of each.
+    pub connections: u32,
+    /// Requests that a cold target bears.
+    pub first_limit: u32,
+    /// Answers after which it bears one more.
+    pub growth_answers: u32,
+}
+
+impl ServicePlan {
+    /// Creates a service with a moderate cold start.
+    pub fn new(name: &str, targets: usize, slots: u32) -> ServicePlan {
+        ServicePlan {
+            name: name.to_owned(),
+            targets,
+            slots,
+            connections: 2_000,
+            first_limit: 2,
+            growth_answers: 10,
+        }
+    }
+}
+
+/// A system to start.
+#[derive(Clone, Debug)]
+pub struct SystemPlan {
+    /// Second byte of all addresses.
+    pub subnet: u8,
+    /// Availability zones.
+    pub zones: Vec<String>,
+    /// Number of balancers, spread over the zones.
+    pub balancers: usize,
+    /// Services; their targets are spread over the zones.
+    pub services: Vec<ServicePlan>,
+    /// Faults of the fabric.
+    pub faults: FabricFaults,
+    /// Seed of the stand-ins.
+    pub seed: u64,
+    /// Whether agents write traces.
+    pub traces: bool,
+}
+
+impl SystemPlan {
+    /// Three zones, three balancers and a service `vypocet` of three targets.
+    pub fn new(subnet: u8) -> SystemPlan {
+        SystemPlan {
+            subnet,
+            zones: ["brno-a", "olomouc-b", "zlin-c"].map(str::to_owned).to_vec(),
+            balancers: 3,
+            services: vec![ServicePlan::new("vypocet", 3, 9)],
+            faults: FabricFaults::default(),
+            seed: 1,
+            traces: false,
+        }
+    }
+
+    /// Returns the plan with other services.
+    pub fn with_services(mut self, services: Vec<ServicePlan>) -> SystemPlan {
+        self.services = services;
+        self
+    }
+
+    /// Returns the plan with faults of the fabric.
+    pub fn with_faults(mut self, faults: FabricFaults) -> SystemPlan {
+        self.faults = faults;
+        self
+    }
+}
+
+/// A daemon that runs as a process; dropped, it is killed.
+pub struct Daemon {
+    child: Child,
+}
+
+impl Daemon {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).expect("the process was started here and not waited for");
+    }
+
+    /// Waits for the end; `None` where it does not come in time.
+    pub async fn wait(&mut self, timeout: Duration) -> Option<i32> {
+        let until = Instant::now() + timeout;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("the process can be awaited") {
+                return Some(status.code().unwrap_or(-1));
+            }
+            sleep(POLL).await;
+        }
+        None
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// The place of one target: its agent's settings and what runs there.
+pub struct TargetPlace {
+    /// Service.
+    pub service: ServicePlan,
+    /// Availability zone.
+    pub zone: String,
+    /// Agent, while it runs.
+    pub agent: Option<Daemon>,
+    /// Target, while it runs.
+    pub target: Option<Arc<Target>>,
+}
+
+/// A running system.
+pub struct System {
+    /// What was started.
+    pub plan: SystemPlan,
+    programs: Programs,
+    folder: PathBuf,
+    /// Store.
+    pub store: StandinStore,
+    /// Fabric.
+    pub fabric: Arc<Fabric>,
+    /// Balancers, while they run.
+    pub balancers: Vec<Option<Daemon>>,
+    /// Targets and agents.
+    pub places: Vec<TargetPlace>,
+    client: reqwest::Client,
+}
+
+impl System {
+    /// Starts everything, publishes, and waits until all are ready. `folder` must be empty.
+    pub async fn start(plan: SystemPlan, programs: Programs, folder: &Path) -> System {
+        let mut system = System::start_stores(plan, programs, folder).await;
+        for index in 0..system.plan.balancers {
+            system.start_balancer(index);
+        }
+        for index in 0..system.places.len() {
+            system.start_agent(index);
+            system.start_target(index, true).await;
+        }
+        system.publish();
+        system.wait_until_ready().await;
+        system
+    }
+
+    /// Starts store and fabric and writes all files; no daemon runs yet.
+    pub async fn start_stores(plan: SystemPlan, programs: Programs, folder: &Path) -> System {
+        let store = StandinStore::new(plan.seed);
+        let subnet = plan.subnet;
+        tokio::spawn(store.clone().serve(address(subnet, 90, 1, 2379)));
+        let services = (0..plan.services.len()).map(|index| service_address(subnet, index));
+        let fabric_plan = FabricPlan {
+            listen: address(subnet, 90, 2, 7000),
+            services: services.collect(),
+            balancers: (0..plan.balancers).map(|index| balancer_address(subnet, index)).collect(),
+            faults: plan.faults,
+            seed: plan.seed,
+        };
+        let fabric = Fabric::start(&fabric_plan).await.expect("the fabric's addresses are free");
+        let zones = plan.zones.clone();
+        let of_service = |service: &ServicePlan| vec![service.clone(); service.targets];
+        let places = plan.services.iter().flat_map(of_service).enumerate();
+        let places = places.map(|(index, service)| TargetPlace {
+            service,
+            zone: zones[index % zones.len()].clone(),
+            agent: None,
+            target: None,
+        });
+        let system = System {
+            places: places.collect(),
+            balancers: (0..plan.balancers).map(|_| None).collect(),
+            plan,
+            programs,
+            folder: folder.to_owned(),
+            store,
+            fabric,
+            client: reqwest::Client::new(),
+        };
+        system.write_files();
+        system
+    }
+
+    /// Address of a service.
+    pub fn service(&self, index: usize) -> SocketAddr {
+        service_address(self.plan.subnet, index)
+    }
+
+    /// Certificate of the authority.
+    pub fn authority(&self) -> PathBuf {
+        self.folder.join("keys/authority.pem")
+    }
+
+    /// A moderate load on all services.
+    pub fn load_plan(&self) -> LoadPlan {
+        LoadPlan {
+            services: (0..self.plan.services.len()).map(|index| self.service(index)).collect(),
+            authority: self.authority(),
+            server_name: "localhost".to_owned(),
+            callers: 20,
+            requests: 50,
+            pause_ms: 100,
+            work_ms: 10,
+            streams: 20,
+            stream_chunks: 100,
+            stream_ms: 100,
+            once_percent: 30,
+            deadline: Duration::from_secs(20),
+            retry_budget_percent: 10,
+            seed: self.plan.seed,
+            id_prefix: String::new(),
+        }
+    }
+
+    /// Starts or restarts a balancer.
+    pub fn start_balancer(&mut self, index: usize) {
+        let config = self.folder.join(format!("balancer-{index}.jsonc"));
+        let log = self.folder.join(format!("balancer-{index}.log"));
+        self.balancers[index] = Some(start_daemon(&self.programs.balancer, &config, &log));
+    }
+
+    /// Starts or restarts an agent.
+    pub fn start_agent(&mut self, index: usize) {
+        let config = self.folder.join(format!("agent-{index}.jsonc"));
+        let log = self.folder.join(format!("agent-{index}.log"));
+        self.places[index].agent = Some(start_daemon(&self.programs.agent, &config, &log));
+    }
+
+    /// Starts a target process at a place; the old one must have ended.
+    pub async fn start_target(&mut self, index: usize, warm: bool) -> Arc<Target> {
+        let place = &self.places[index];
+        let plan = TargetPlan {
+            listen: self.target_address(index),
+            agent: self.agent_admin(index),
+            service: place.service.name.clone(),
+            slots: place.service.slots,
+            connections: place.service.connections,
+            first_limit: place.service.first_limit,
+            growth_answers: place.service.growth_answers,
+            warm,
+            process: format!("{index}-{:08x}", rand::random::<u32>()),
+            sheds: false,
+        };
+        self.start_target_with(index, plan).await
+    }
+
+    /// Starts a target with a plan of its own.
+    pub async fn start_target_with(&mut self, index: usize, plan: TargetPlan) -> Arc<Target> {
+        let target = Target::start(plan).await.expect("the target's address is free");
+        self.places[index].target = Some(Arc::clone(&target));
+        target
+    }
+
+    /// The target at a place.
+    pub fn target(&self, index: usize) -> &Arc<Target> {
+        self.places[index].target.as_ref().expect("a target runs at this place")
+    }
+
+    /// Address on which the target of a place serves.
+    pub fn target_address(&self, index: usize) -> SocketAddr {
+        address(self.plan.subnet, 3, index as u8 + 1, 8080).into()
+    }
+
+    /// Admin address of the agent of a place.
+    pub fn agent_admin(&self, index: usize) -> SocketAddrV4 {
+        address(self.plan.subnet, 2, index as u8 + 1, 7002)
+    }
+
+    /// Data address of the agent of a place.
+    pub fn agent_data(&self, index: usize) -> SocketAddrV4 {
+        address(self.plan.subnet, 2, index as u8 + 1, 7000)
+    }
+
+    /// Admin address of a balancer.
+    pub fn balancer_admin(&self, index: usize) -> SocketAddrV4 {
+        balancer_address(self.plan.subnet, index).admin
+    }
+
+    /// Runs the operators' tool; returns exit code and output.
+    pub fn operate(&self, arguments: &[&str]) -> (i32, String) {
+        let output = Command::new(&self.programs.operator)
+            .arg("--config")
+            .arg(self.folder.join("rhubarbthread.jsonc"))
+            .args(arguments)
+            .output()
+            .expect("the operators' tool runs");
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Publishes the service files, retrying while the store does not serve yet.
+    pub fn publish(&self) {
+        let folder = self.services_folder();
+        for _ in 0..100 {
+            let (code, _) = self.operate(&["publish", folder.to_str().expect("paths are text")]);
+            if code == 0 {
+                return;
+            }
+            std::thread::sleep(POLL);
+        }
+        panic!("publishing keeps failing: {:?}", self.operate(&["check", folder.to_str().unwrap()]));
+    }
+
+    /// Folder of the service files.
+    pub fn services_folder(&self) -> PathBuf {
+        self.folder.join("services")
+    }
+
+    /// Takes a zone out or in by the operators' tool.
+    pub fn set_zone(&self, zone: &str, out: bool) {
+        let direction = if out { "out" } else { "in" };
+        let (code, text) = self.operate(&["zone", direction, zone]);
+        assert_eq!(code, 0, "{text}");
+    }
+
+    /// Waits until every daemon that runs is ready and every balancer knows every target.
+    pub async fn wait_until_ready(&self) {
+        self.wait_for("all daemons ready", READY_TIMEOUT, async |system: &System| {
+            for index in 0..system.balancers.len() {
+                let runs = system.balancers[index].is_some();
+                if runs && !system.is_balancer_complete(index).await {
+                    return false;
+                }
+            }
+            for index in 0..system.places.len() {
+                let runs = system.places[index].agent.is_some();
+                if runs && !system.is_ready(system.agent_admin(index)).await {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    async fn is_balancer_complete(&self, index: usize) -> bool {
+        let admin = self.balancer_admin(index);
+        let Some(status) = self.status(admin).await else {
+            return false;
+        };
+        let targets = status["targets"].as_array().cloned().unwrap_or_default();
+        let serving = |target: &&Value| {
+            target["lost"] == json!(false)
+                && (target["phase"] == json!("serving") || target["phase"] == json!("cold"))
+        };
+        let running = self.places.iter().filter(|place| place.agent.is_some()).count();
+        self.is_ready(admin).await && targets.iter().filter(serving).count() >= running
+    }
+
+    /// Waits for a condition; panics with its name where it does not come true in time.
+    pub async fn wait_for(
+        &self,
+        what: &str,
+        timeout: Duration,
+        condition: impl AsyncFn(&System) -> bool,
+    ) -> Duration {
+        let start = Instant::now();
+        while !condition(self).await {
+            assert!(start.elapsed() < timeout, "{what}: not within {timeout:?}\n{}", self.logs());
+            sleep(POLL).await;
+        }
+        start.elapsed()
+    }
+
+    /// Whether a daemon says that it is ready.
+    pub async fn is_ready(&self, admin: SocketAddrV4) -> bool {
+        let answer = self.client.get(format!("http://{admin}/ready")).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Status of a daemon.
+    pub async fn status(&self, admin: SocketAddrV4) -> Option<Value> {
+        let request = self.client.get(format!("http://{admin}/status"));
+        let answer = request.timeout(Duration::from_secs(2)).send().await.ok()?;
+        answer.json().await.ok()
+    }
+
+    /// Value of a metric with all its labels as written, 0 where it is not there.
+    pub async fn metric(&self, admin: SocketAddrV4, name: &str) -> f64 {
+        let request = self.client.get(format!("http://{admin}/metrics"));
+        let Ok(answer) = request.timeout(Duration::from_secs(2)).send().await else {
+            return 0.0;
+        };
+        let text = answer.text().await.unwrap_or_default();
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        value.unwrap_or(0.0)
+    }
+
+    /// Last lines of all logs, for messages.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        let Ok(entries) = fs::read_dir(&self.folder) else {
+            return text;
+        };
+        for entry in entries.flatten().filter(|entry| is_log(&entry.path())) {
+            let log = fs::read_to_string(entry.path()).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let last = &lines[lines.len().saturating_sub(8)..];
+            text += &format!("{}\n{}\n", entry.path().display(), last.join("\n"));
+        }
+        text
+    }
+
+    /// Path of the trace of an agent.
+    pub fn trace_path(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("agent-{index}.trace"))
+    }
+
+    fn write_files(&self) {
+        let keys = self.folder.join("keys");
+        let output = Command::new(&self.programs.operator).arg("keys").arg(&keys).output();
+        assert!(output.expect("the operators' tool runs").status.success(), "keys are made");
+        fs::create_dir(self.services_folder()).expect("the folder is empty");
+        for index in 0..self.plan.balancers {
+            self.write(&format!("balancer-{index}.jsonc"), &self.balancer_settings(index));
+        }
+        for index in 0..self.places.len() {
+            self.write(&format!("agent-{index}.jsonc"), &self.agent_settings(index));
+        }
+        for (index, service) in self.plan.services.iter().enumerate() {
+            let name = format!("services/{}.service.jsonc", service.name);
+            self.write(&name, &service_file(service, self.service(index)));
+        }
+        let admins: Vec<String> =
+            (0..self.plan.balancers).map(|index| self.balancer_admin(index).to_string()).collect();
+        let operator = json!({"store_endpoints": [self.store_url()], "admin_seeds": admins});
+        self.write("rhubarbthread.jsonc", &operator);
+    }
+
+    fn write(&self, name: &str, value: &Value) {
+        let text = serde_json::to_string_pretty(value).expect("JSON values serialise");
+        fs::write(self.folder.join(name), text).expect("the folder is writable");
+    }
+
+    fn store_url(&self) -> String {
+        format!("http://{}", address(self.plan.subnet, 90, 1, 2379))
+    }
+
+    fn seeds(&self) -> Vec<String> {
+        let seeds = (0..self.plan.balancers).map(|index| control_address(self.plan.subnet, index));
+        seeds.take(3).map(|seed| seed.to_string()).collect()
+    }
+
+    fn common_settings(&self, zone: &str) -> Value {
+        json!({
+            "availability_zone": zone,
+            "seeds": self.seeds(),
+            "store_endpoints": [self.store_url()],
+            "tls": {
+                "authority": "keys/authority.pem",
+                "certificate": "keys/node.pem",
+                "private_key": "keys/node.key",
+            },
+            "keys_file": "keys/cluster-keys.jsonc",
+            "log": {"level": "debug"},
+        })
+    }
+
+    fn balancer_settings(&self, index: usize) -> Value {
+        let zones = &self.plan.zones;
+        let mut settings = self.common_settings(&zones[index % zones.len()]);
+        let addresses = balancer_address(self.plan.subnet, index);
+        settings["data_address"] = json!(addresses.data.to_string());
+        settings["control_address"] = json!(control_address(self.plan.subnet, index).to_string());
+        settings["admin_address"] = json!(addresses.admin.to_string());
+        settings
+    }
+
+    fn agent_settings(&self, index: usize) -> Value {
+        let mut settings = self.common_settings(&self.places[index].zone);
+        settings["data_address"] = json!(self.agent_data(index).to_string());
+        settings["admin_address"] = json!(self.agent_admin(index).to_string());
+        settings["fabric_address"] = json!(address(self.plan.subnet, 90, 2, 7000).to_string());
+        settings["caller_tls"] =
+            json!({"certificate": "keys/caller.pem", "private_key": "keys/caller.key"});
+        if self.plan.traces {
+            settings["trace_path"] = json!(self.trace_path(index));
+        }
+        settings
+    }
+}
+
+fn service_file(service: &ServicePlan, address: SocketAddr) -> Value {
+    json!({
+        "name": service.name,
+        "address": address.to_string(),
+        "cold_start": {
+            "first_limit": service.first_limit,
+            "growth_answers": service.growth_answers,
+        },
+        "stream_paths": ["/stream"],
+    })
+}
+
+fn is_log(path: &Path) -> bool {
+    path.extension().is_some_and(|extension| extension == "log")
+}
+
+fn start_daemon(program: &Path, config: &Path, log: &Path) -> Daemon {
+    let mut options = fs::OpenOptions::new();
+    let log = options.create(true).append(true).open(log).expect("the folder is writable");
+    let child = Command::new(program)
+        .arg("--config")
+        .arg(config)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .expect("the daemon starts");
+    Daemon { child }
+}
+
+fn address(subnet: u8, role: u8, index: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, subnet, role, index), port)
+}
+
+fn service_address(subnet: u8, index: usize) -> SocketAddr {
+    address(subnet, 80, index as u8 + 1, 4433).into()
+}
+
+fn control_address(subnet: u8, index: usize) -> SocketAddrV4 {
+    address(subnet, 1, index as u8 + 1, 7001)
+}
+
+fn balancer_address(subnet: u8, index: usize) -> BalancerAddress {
+    BalancerAddress {
+        data: address(subnet, 1, index as u8 + 1, 7000),
+        admin: address(subnet, 1, index as u8 + 1, 7002),
+    }
+}
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -176,6 +176,8 @@
             let Ok((stream, _)) = accepted else {
                 continue;
             };
+            // Without it each answer waits for an acknowledgement; it is right either way.
+            let _ = stream.set_nodelay(true);
             let target = Arc::clone(&self);
             let mut stop = self.stop.subscribe();
             tokio::spawn(async move {
--- /dev/null
+++ b/tests/failures_balancer.rs
@@ -0,0 +1,55 @@
+//! Balancers die, stop and are replaced while flows go on.
+
+mod support;
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rhubarbthread_standins::fabric::FabricFaults;
+use rhubarbthread_standins::load::Load;
+use rhubarbthread_standins::system::SystemPlan;
+
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+
+const SPRAY: FabricFaults = FabricFaults {
+    drop_permille: 0,
+    duplicate_permille: 20,
+    reorder_permille: 20,
+    delay_us: 0,
+    ignore_probes: false,
+};
+
+/// Every balancer is killed and replaced, one after another, under long streams.
+async fn replace_all(subnet: u8, seed: u64, signal: Signal) {
+    let mut plan = SystemPlan::new(subnet).with_faults(SPRAY);
+    plan.seed = seed;
+    let (mut system, _folder) = support::start(plan).await;
+    let mut load = system.load_plan();
+    load.streams = 60;
+    load.stream_chunks = 80;
+    let load = Load::new(load);
+    let running = tokio::spawn({
+        let load = load.clone();
+        async move { load.run().await }
+    });
+    for index in 0..3 {
+        let mut balancer = system.balancers[index].take().expect("it runs");
+        balancer.signal(signal);
+        let code = balancer.wait(STOP_TIMEOUT).await;
+        if signal == Signal::SIGTERM {
+            assert_eq!(code, Some(0), "a planned stop ends well\n{}", system.logs());
+        }
+        system.start_balancer(index);
+        system.wait_until_ready().await;
+    }
+    let report = running.await.expect("the load runs to its end");
+    assert_eq!(report.broken_flows, 0, "{report:?}\n{}", system.logs());
+    assert_eq!(report.wrong, 0, "{report:?}");
+    assert_eq!(report.whole, report.requests, "{report:?}\n{}", system.logs());
+}
+
+cases! {
+    all_killed_seed_1: support::run(replace_all(11, 1, Signal::SIGKILL));
+    all_killed_seed_2: support::run(replace_all(12, 2, Signal::SIGKILL));
+    all_stopped_as_planned: support::run(replace_all(13, 3, Signal::SIGTERM));
+}
