Failure tests of targets and zones; a call that met its deadline leaves its flow

Cause: a caller whose agent had died kept the dead flow until the idle timeout, so each of its calls ran into its deadline. Ruled out: balancers (they drop the old service's packets as they must).

--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -263,8 +263,9 @@
         Ok(())
     }
 
-    /// The next call opens another flow, which may end at another target.
-    async fn leave_flow(&self) {
+    /// Leaves the flow to the calls that use it; the next call opens another one, which may end at
+    /// another target.
+    pub async fn leave_flow(&self) {
         self.flow.lock().await.take();
     }
 
@@ -277,7 +278,11 @@
         let mut stream = self.send(call, ticket, deadline).await?;
         match timeout_at(deadline, stream.read_whole()).await {
             Ok(answer) => answer.and_then(|answer| refusal_of(answer, ticket.is_some())),
-            Err(_) => Err(Failure::new(Verdict::MayHaveRun, "deadline")),
+            Err(_) => {
+                // The other side may be gone without a word; the next call tries another flow.
+                self.leave_flow().await;
+                Err(Failure::new(Verdict::MayHaveRun, "deadline"))
+            }
         }
     }
 
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -11,6 +11,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hmac::Hmac;
+use hmac::Mac;
 use indexmap::IndexMap;
 use quinn::Connection;
 use quinn::Endpoint;
@@ -18,8 +20,6 @@
 use quinn::TokioRuntime;
 use serde::Serialize;
 use sha2::Sha256;
-use hmac::Hmac;
-use hmac::Mac;
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
--- a/src/process/agent_reports.rs
+++ b/src/process/agent_reports.rs
@@ -181,7 +181,11 @@
     }
 }
 
-fn request_of(shared: &AgentShared, record: &TargetRecord, keepers: &[SocketAddrV4]) -> ControlRequest {
+fn request_of(
+    shared: &AgentShared,
+    record: &TargetRecord,
+    keepers: &[SocketAddrV4],
+) -> ControlRequest {
     let digest = shared.with_records(|records| {
         let needed = records.iter().filter(|held| match held {
             crate::version::record::Record::Service(service) => service.name == record.service,
--- a/src/process/agent_socket.rs
+++ b/src/process/agent_socket.rs
@@ -173,6 +173,7 @@
 
     /// Handles one envelope; returns the caller and the datagram where it is for the endpoint.
     fn take<'b>(&self, bytes: &'b [u8]) -> Option<(SocketAddr, &'b [u8])> {
+        self.shared.metrics().received.inc();
         let Ok((route, datagram)) = envelope::decode(bytes) else {
             count(&self.shared.metrics().dropped, AgentDrop::BadEnvelope.as_str());
             return None;
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -33,12 +33,8 @@
 impl Document {
     /// Reads a file.
     pub fn open(path: &Path) -> Result<Document, Fault> {
-        let fault = |message: String| Fault {
-            file: path.to_owned(),
-            line: 1,
-            key: String::new(),
-            message,
-        };
+        let fault =
+            |message: String| Fault { file: path.to_owned(), line: 1, key: String::new(), message };
         let text = fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
         if text.len() > MAX_FILE_BYTES {
             return Err(fault(format!("larger than {MAX_FILE_BYTES} bytes")));
@@ -110,7 +106,8 @@
 
     /// Adds a fault of a key.
     pub fn fault(&self, key: &str, message: String) {
-        let at = self.property(key).map_or(self.object.range.start, |property| property.range.start);
+        let at =
+            self.property(key).map_or(self.object.range.start, |property| property.range.start);
         self.document.fault(at, &self.key_path(key), message);
     }
 
@@ -212,11 +209,7 @@
     }
 
     /// Reads an inner object.
-    pub fn section<T>(
-        &self,
-        key: &str,
-        read: impl FnOnce(&Section<'_>) -> Option<T>,
-    ) -> Option<T> {
+    pub fn section<T>(&self, key: &str, read: impl FnOnce(&Section<'_>) -> Option<T>) -> Option<T> {
         let value = self.required(key)?;
         self.read_object(key, value, read)
     }
--- a/src/process/etcd.rs
+++ b/src/process/etcd.rs
@@ -62,7 +62,12 @@
         Err(last)
     }
 
-    async fn call_one(&self, endpoint: &str, path: &str, body: &Value) -> Result<Value, StoreError> {
+    async fn call_one(
+        &self,
+        endpoint: &str,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, StoreError> {
         let request = self.client.post(format!("{endpoint}{path}")).json(body);
         let response = request.timeout(CALL_TIMEOUT).send().await.map_err(send_error)?;
         let status = response.status();
--- a/src/process/key_files.rs
+++ b/src/process/key_files.rs
@@ -28,14 +28,8 @@
 const PUBLIC_MODE: u32 = 0o644;
 
 /// Files of the set.
-pub const KEY_FILES: [&str; 6] = [
-    "authority.pem",
-    "node.pem",
-    "node.key",
-    "caller.pem",
-    "caller.key",
-    "cluster-keys.jsonc",
-];
+pub const KEY_FILES: [&str; 6] =
+    ["authority.pem", "node.pem", "node.key", "caller.pem", "caller.key", "cluster-keys.jsonc"];
 
 /// Writes the set to a folder, which is created. Files that exist are never replaced. `names` are
 /// the DNS names and IP addresses that callers use.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -128,6 +128,8 @@
     pub refused_flows: ReasonCounter,
     /// Datagrams dropped, by reason.
     pub dropped: ReasonCounter,
+    /// Datagrams received.
+    pub received: Counter,
     /// Opening datagrams, by decision.
     pub openings: ReasonCounter,
     /// Answers passed to callers, by verdict.
@@ -150,6 +152,7 @@
             refused_requests: Family::default(),
             refused_flows: Family::default(),
             dropped: Family::default(),
+            received: Counter::default(),
             openings: Family::default(),
             answers: Family::default(),
             call_failures: Family::default(),
@@ -172,6 +175,7 @@
         registry.register("refused_requests", "Requests refused", refused);
         registry.register("refused_flows", "Flows refused", self.refused_flows.clone());
         registry.register("dropped", "Datagrams dropped", self.dropped.clone());
+        registry.register("received", "Datagrams received", self.received.clone());
         registry.register("openings", "Opening datagrams, by decision", self.openings.clone());
         registry.register("answers", "Answers, by verdict", self.answers.clone());
         registry.register("call_failures", "Failed control calls", self.call_failures.clone());
--- a/src/process/publish.rs
+++ b/src/process/publish.rs
@@ -164,11 +164,7 @@
     }
 }
 
-async fn write_part(
-    store: &dyn Store,
-    base: &mut StoredServices,
-    part: &[Change],
-) -> Result<u64> {
+async fn write_part(store: &dyn Store, base: &mut StoredServices, part: &[Change]) -> Result<u64> {
     for _ in 0..MAX_TRIES {
         let publish_id = fresh_publish_id();
         let (conditions, puts) = transaction_of(base, part, &publish_id)?;
@@ -397,8 +393,8 @@
 fn check_zone_fingerprint(zones: &StoreSnapshot, name: &str) -> Result<()> {
     let prefix = zone_key("");
     let mut names = zones.values.iter().filter_map(|value| value.key.strip_prefix(&prefix));
-    let twin = names
-        .find(|other| *other != name && zone_fingerprint(other) == zone_fingerprint(name));
+    let twin =
+        names.find(|other| *other != name && zone_fingerprint(other) == zone_fingerprint(name));
     match twin {
         Some(twin) => {
             let message = format!("zones {name} and {twin} cannot be used together; rename one");
--- a/src/process/service_file.rs
+++ b/src/process/service_file.rs
@@ -141,7 +141,12 @@
             let other = *zones.entry(zone_fingerprint(zone)).or_insert(zone);
             if other != zone {
                 let message = format!("{zone:?} and {other:?} cannot be used together; rename one");
-                faults.push(Fault { file: path.clone(), line: 1, key: "zones".to_owned(), message });
+                faults.push(Fault {
+                    file: path.clone(),
+                    line: 1,
+                    key: "zones".to_owned(),
+                    message,
+                });
             }
         }
     }
--- a/src/request/ticket_book.rs
+++ b/src/request/ticket_book.rs
@@ -21,7 +21,8 @@
 
 impl KeptAnswer {
     fn size_bytes(&self) -> usize {
-        let headers: usize = self.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let headers: usize =
+            self.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
         headers + self.body.as_ref().map_or(0, Vec::len)
     }
 }
@@ -136,7 +137,8 @@
     }
 
     fn drop_oldest(&mut self) {
-        while self.entries.len() > self.bounds.max_entries || self.kept_bytes > self.bounds.max_bytes
+        while self.entries.len() > self.bounds.max_entries
+            || self.kept_bytes > self.bounds.max_bytes
         {
             let Some(number) = self.oldest_ended() else {
                 return;
--- a/src/version/message.rs
+++ b/src/version/message.rs
@@ -106,8 +106,7 @@
 
 /// Converts a message to a summary.
 pub fn summary_from_message(message: &wire::Summary) -> Summary {
-    let order =
-        Order { major: message.major, minor: message.minor, lost: message.observed_lost };
+    let order = Order { major: message.major, minor: message.minor, lost: message.observed_lost };
     Summary { key_hash: message.key_hash, order }
 }
 
--- a/src/version/peer.rs
+++ b/src/version/peer.rs
@@ -20,8 +20,8 @@
 use crate::version::keeper::Heartbeat;
 use crate::version::keeper::Keeper;
 use crate::version::keeper::KeeperSets;
-use crate::version::keeper::keepers_of;
 use crate::version::keeper::SILENCE_MS;
+use crate::version::keeper::keepers_of;
 use crate::version::message;
 use crate::version::record::BalancerRecord;
 use crate::version::record::Phase;
@@ -534,7 +534,8 @@
         self.take(&Record::Target(target.clone()));
         let mut answer = wire::ReportAnswer {
             configured: self.configured,
-            service_load_permille: self.keeper.service_load_permille(&target.service, now_ms) as u32,
+            service_load_permille: self.keeper.service_load_permille(&target.service, now_ms)
+                as u32,
             ..Default::default()
         };
         if let Some(known) = self.records.target(target.data) {
@@ -569,11 +570,7 @@
         self.records.iter().filter(needed).collect()
     }
 
-    fn answer_confirm(
-        &self,
-        now_ms: u64,
-        confirm: &wire::Confirm,
-    ) -> Option<wire::ConfirmAnswer> {
+    fn answer_confirm(&self, now_ms: u64, confirm: &wire::Confirm) -> Option<wire::ConfirmAnswer> {
         let target = from_hop(confirm.data.as_ref()?)?;
         let silent_ms = self.keeper.silence_ms(target, confirm.incarnation, now_ms);
         let heard = silent_ms.is_some_and(|silent_ms| silent_ms < SILENCE_MS);
@@ -638,7 +635,8 @@
             self.declare_target_lost(target, incarnation);
             return Vec::new();
         }
-        let confirmation = Confirmation { incarnation, asked: others.len(), answered: 0, silent: 0 };
+        let confirmation =
+            Confirmation { incarnation, asked: others.len(), answered: 0, silent: 0 };
         self.confirmations.insert(target, confirmation);
         let confirm = wire::Confirm { data: Some(to_hop(target)), incarnation };
         let request = wire::ControlRequest { kind: Some(RequestKind::Confirm(confirm)) };
@@ -700,7 +698,8 @@
             Record::Balancer(balancer) => balancer.gone || balancer.lost,
             _ => false,
         };
-        let ended: IndexSet<RecordKey> = self.records.iter().filter(ended).map(Record::key).collect();
+        let ended: IndexSet<RecordKey> =
+            self.records.iter().filter(ended).map(Record::key).collect();
         self.ended_at_ms.retain(|key, _| ended.contains(key));
         for key in ended {
             let since_ms = *self.ended_at_ms.entry(key.clone()).or_insert(now_ms);
--- a/src/version/rendezvous.rs
+++ b/src/version/rendezvous.rs
@@ -23,8 +23,8 @@
         let best_in_new_zone = best(key, candidates, |index| {
             !chosen.iter().any(|&other| candidates[other].zone == candidates[index].zone)
         });
-        let next = best_in_new_zone
-            .or_else(|| best(key, candidates, |index| !chosen.contains(&index)));
+        let next =
+            best_in_new_zone.or_else(|| best(key, candidates, |index| !chosen.contains(&index)));
         match next {
             Some(index) => chosen.push(index),
             None => break,
@@ -33,11 +33,7 @@
     chosen
 }
 
-fn best(
-    key: u64,
-    candidates: &[Candidate<'_>],
-    allowed: impl Fn(usize) -> bool,
-) -> Option<usize> {
+fn best(key: u64, candidates: &[Candidate<'_>], allowed: impl Fn(usize) -> bool) -> Option<usize> {
     (0..candidates.len())
         .filter(|&index| candidates[index].weight > 0 && allowed(index))
         .max_by(|&a, &b| score(key, &candidates[a]).total_cmp(&score(key, &candidates[b])))
--- a/src/version/table.rs
+++ b/src/version/table.rs
@@ -108,8 +108,7 @@
     ///
     /// Established flows still go to the zones in `draining`, which were taken out a moment ago.
     pub fn new(records: &Records, draining: &[String]) -> Table {
-        let zones_out =
-            records.zones().filter(|zone| zone.out && !draining.contains(&zone.name));
+        let zones_out = records.zones().filter(|zone| zone.out && !draining.contains(&zone.name));
         let mut table = Table {
             services: IndexMap::new(),
             zones_out: zones_out.map(|zone| zone_fingerprint(&zone.name)).collect(),
@@ -164,11 +163,7 @@
         self.services.get(&service).map_or_else(Vec::new, |service| chain(service, flow_hash))
     }
 
-    fn route_tagged(
-        &self,
-        service: &ServiceEntry,
-        tag: &Tag,
-    ) -> Forward {
+    fn route_tagged(&self, service: &ServiceEntry, tag: &Tag) -> Forward {
         if tag.service != service.number {
             return Forward::Drop(Drop::OtherService);
         }
--- a/standins/src/bin/standin-fabric.rs
+++ b/standins/src/bin/standin-fabric.rs
@@ -17,7 +17,11 @@
     listen: Option<SocketAddrV4>,
     #[options(help = "service address (several)", meta = "IP:PORT")]
     service: Vec<SocketAddr>,
-    #[options(help = "balancer (several)", meta = "DATA@ADMIN", parse(try_from_str = "parse_balancer"))]
+    #[options(
+        help = "balancer (several)",
+        meta = "DATA@ADMIN",
+        parse(try_from_str = "parse_balancer")
+    )]
     balancer: Vec<BalancerAddress>,
     #[options(help = "datagrams dropped, in thousandths", no_short)]
     drop: u32,
--- a/standins/src/bin/standin-load.rs
+++ b/standins/src/bin/standin-load.rs
@@ -25,6 +25,8 @@
     callers: usize,
     #[options(help = "requests of each", default = "50", no_short)]
     requests: usize,
+    #[options(help = "requests of a caller before it opens another flow; 0 for all", no_short)]
+    flow_requests: usize,
     #[options(help = "milliseconds between two requests of a caller", default = "100", no_short)]
     pause_ms: u64,
     #[options(help = "milliseconds of work a request", default = "10", no_short)]
@@ -58,6 +60,7 @@
         server_name: options.server_name,
         callers: options.callers,
         requests: options.requests,
+        flow_requests: options.flow_requests,
         pause_ms: options.pause_ms,
         work_ms: options.work_ms,
         streams: options.streams,
--- /dev/null
+++ b/tests/failures_target.rs
@@ -0,0 +1,215 @@
+//! Targets and agents leave, stop, crash and are replaced under load.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rhubarbthread_standins::load::Load;
+use rhubarbthread_standins::load::LoadReport;
+use rhubarbthread_standins::system::ServicePlan;
+use rhubarbthread_standins::system::System;
+use rhubarbthread_standins::system::SystemPlan;
+use rhubarbthread_standins::target::TargetPlan;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Time after which a leaving target gets no new work.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+
+fn start_load(load: &Arc<Load>) -> JoinHandle<LoadReport> {
+    let load = Arc::clone(load);
+    tokio::spawn(async move { load.run().await })
+}
+
+fn assert_nothing_cut(report: &LoadReport, system: &System) {
+    assert_eq!(report.broken_flows, 0, "{report:?}\n{}", system.logs());
+    assert_eq!(report.wrong, 0, "{report:?}");
+    assert_eq!(report.may_have_run, 0, "{report:?}\n{}", system.logs());
+    assert_eq!(report.whole + report.not_run, report.requests, "{report:?}");
+}
+
+async fn target_leaves() {
+    let (system, _folder) = support::start(SystemPlan::new(21)).await;
+    let load = Load::new(system.load_plan());
+    let running = start_load(&load);
+    sleep(Duration::from_secs(1)).await;
+    let target = Arc::clone(system.target(0));
+    let leaving = tokio::spawn({
+        let target = Arc::clone(&target);
+        async move { target.leave().await }
+    });
+    sleep(NO_NEW_WORK).await;
+    let answers = target.stats().answers;
+    let report = running.await.expect("the load runs to its end");
+    leaving.await.expect("the target leaves");
+    assert_eq!(target.stats().answers, answers, "new work after {NO_NEW_WORK:?}");
+    assert_eq!(target.stats().cut, 0);
+    assert_nothing_cut(&report, &system);
+}
+
+async fn agent_stops() {
+    let (mut system, _folder) = support::start(SystemPlan::new(22)).await;
+    let load = Load::new(system.load_plan());
+    let running = start_load(&load);
+    sleep(Duration::from_secs(1)).await;
+    let mut agent = system.places[0].agent.take().expect("it runs");
+    agent.signal(Signal::SIGTERM);
+    assert_eq!(agent.wait(STOP_TIMEOUT).await, Some(0), "{}", system.logs());
+    let report = running.await.expect("the load runs to its end");
+    assert_eq!(system.target(0).stats().cut, 0);
+    assert_nothing_cut(&report, &system);
+}
+
+async fn second_signal_ends_at_once() {
+    let (mut system, _folder) = support::start(SystemPlan::new(23)).await;
+    let mut load = system.load_plan();
+    load.stream_chunks = 600;
+    let load = Load::new(load);
+    let running = start_load(&load);
+    sleep(Duration::from_secs(2)).await;
+    let mut agent = system.places[0].agent.take().expect("it runs");
+    agent.signal(Signal::SIGTERM);
+    let admin = system.agent_admin(0);
+    system
+        .wait_for("the stop begins", Duration::from_secs(5), async |system: &System| {
+            !system.is_ready(admin).await
+        })
+        .await;
+    assert_eq!(agent.wait(Duration::from_millis(500)).await, None, "streams still run");
+    agent.signal(Signal::SIGTERM);
+    assert_eq!(agent.wait(Duration::from_secs(2)).await, Some(1));
+    running.abort();
+}
+
+/// The target's process is replaced without warning by a cold one at the same address.
+async fn target_replaced_cold(subnet: u8, seed: u64) {
+    let mut service = ServicePlan::new("vypocet", 2, 9);
+    service.first_limit = 2;
+    service.growth_answers = 20;
+    let mut plan = SystemPlan::new(subnet).with_services(vec![service]);
+    plan.seed = seed;
+    let (mut system, _folder) = support::start(plan).await;
+    let mut load = system.load_plan();
+    load.callers = 40;
+    load.work_ms = 40;
+    load.pause_ms = 60;
+    load.streams = 0;
+    let load = Load::new(load);
+    let running = start_load(&load);
+    sleep(Duration::from_secs(1)).await;
+    system.target(0).crash().await;
+    let replaced = system.start_target(0, false).await;
+    let report = running.await.expect("the load runs to its end");
+    let stats = replaced.stats();
+    assert!(stats.answers > 0, "the new process serves: {report:?}\n{}", system.logs());
+    assert_eq!(stats.worst_excess, 0, "cold target above its limit: {stats:?}\n{}", system.logs());
+    assert_eq!(stats.ran_twice, 0);
+    assert_eq!(report.wrong, 0, "{report:?}");
+}
+
+/// An agent for another service starts at the address of one that has just been killed.
+async fn address_reused(subnet: u8, seed: u64) {
+    let services = vec![ServicePlan::new("vypocet", 2, 9), ServicePlan::new("zpravy", 1, 9)];
+    let mut plan = SystemPlan::new(subnet).with_services(services);
+    plan.seed = seed;
+    let (mut system, _folder) = support::start(plan).await;
+    let mut of_vypocet = system.load_plan();
+    of_vypocet.services.truncate(1);
+    of_vypocet.once_percent = 100;
+    of_vypocet.streams = 0;
+    of_vypocet.deadline = Duration::from_secs(5);
+    of_vypocet.id_prefix = "v-".to_owned();
+    let mut of_zpravy = of_vypocet.clone();
+    of_zpravy.services = vec![system.service(1)];
+    of_zpravy.id_prefix = "z-".to_owned();
+    let loads = [Load::new(of_vypocet), Load::new(of_zpravy)];
+    let running = [start_load(&loads[0]), start_load(&loads[1])];
+    sleep(Duration::from_secs(1)).await;
+
+    system.places[0].agent.take().expect("it runs").kill();
+    system.target(0).crash().await;
+    system.start_agent(0);
+    let plan = TargetPlan {
+        listen: system.target_address(0),
+        agent: system.agent_admin(0),
+        service: "zpravy".to_owned(),
+        slots: 9,
+        connections: 2_000,
+        first_limit: 2,
+        growth_answers: 10,
+        warm: true,
+        process: "reused".to_owned(),
+        sheds: false,
+    };
+    let reused = system.start_target_with(0, plan).await;
+    system.wait_until_ready().await;
+    let mut of_zpravy = system.load_plan();
+    of_zpravy.services = vec![system.service(1)];
+    of_zpravy.once_percent = 100;
+    of_zpravy.streams = 0;
+    of_zpravy.id_prefix = "z2-".to_owned();
+    let report = start_load(&Load::new(of_zpravy)).await.expect("the load runs to its end");
+    assert_eq!(report.whole, report.requests, "{report:?}\n{}", system.logs());
+    for running in running {
+        let report = running.await.expect("the load runs to its end");
+        assert_eq!(report.wrong, 0, "{report:?}");
+    }
+    let ran = reused.ran();
+    assert!(!ran.is_empty(), "the new target gets work\n{}", system.logs());
+    assert!(ran.keys().all(|id| id.starts_with("z")), "request of another service: {ran:?}");
+    let admin = system.agent_admin(0);
+    let dropped =
+        system.metric(admin, "rhubarbthread_dropped_total{reason=\"other-service\"}").await;
+    assert!(dropped > 0.0, "packets of the old service arrive and are dropped");
+}
+
+async fn target_stops_renewing() {
+    let (system, _folder) = support::start(SystemPlan::new(28)).await;
+    system.target(0).crash().await;
+    let admin = system.balancer_admin(0);
+    let agent = system.agent_data(0).to_string();
+    let took = system
+        .wait_for("the target is gone", Duration::from_secs(10), async |system: &System| {
+            let status = system.status(admin).await.unwrap_or_default();
+            let targets = status["targets"].as_array().cloned().unwrap_or_default();
+            targets.iter().any(|target| target["agent"] == agent && target["phase"] == "leaving")
+        })
+        .await;
+    assert!(took < Duration::from_secs(6), "{took:?}");
+}
+
+/// An agent's host dies; its keepers tell the rest.
+async fn agent_killed() {
+    let (mut system, _folder) = support::start(SystemPlan::new(29)).await;
+    system.places[0].agent.take().expect("it runs").kill();
+    let agent = system.agent_data(0).to_string();
+    for index in 0..3 {
+        let admin = system.balancer_admin(index);
+        system
+            .wait_for("the target is lost", Duration::from_secs(12), async |system: &System| {
+                let status = system.status(admin).await.unwrap_or_default();
+                let targets = status["targets"].as_array().cloned().unwrap_or_default();
+                targets.iter().any(|target| target["agent"] == agent && target["lost"] == true)
+            })
+            .await;
+    }
+    let load = Load::new(system.load_plan());
+    let report = start_load(&load).await.expect("the load runs to its end");
+    assert_eq!(report.whole, report.requests, "{report:?}\n{}", system.logs());
+}
+
+cases! {
+    leaving_target_cuts_nothing: support::run(target_leaves());
+    stopping_agent_cuts_nothing: support::run(agent_stops());
+    second_signal: support::run(second_signal_ends_at_once());
+    replaced_cold_seed_1: support::run(target_replaced_cold(24, 1));
+    replaced_cold_seed_2: support::run(target_replaced_cold(25, 2));
+    address_reused_seed_1: support::run(address_reused(26, 1));
+    address_reused_seed_2: support::run(address_reused(27, 2));
+    silent_target: support::run(target_stops_renewing());
+    dead_agent: support::run(agent_killed());
+}
--- /dev/null
+++ b/tests/failures_zone.rs
@@ -0,0 +1,95 @@
+//! Availability zones go out and come back under load.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rhubarbthread_standins::load::Load;
+use rhubarbthread_standins::system::ServicePlan;
+use rhubarbthread_standins::system::System;
+use rhubarbthread_standins::system::SystemPlan;
+use tokio::time::sleep;
+
+/// Time after which a zone that is out receives no packets.
+const NO_PACKETS: Duration = Duration::from_secs(3);
+
+/// Time that the zone stays out.
+const OUT: Duration = Duration::from_secs(6);
+
+/// Time in which the load is back in balance.
+const BACK: Duration = Duration::from_secs(10);
+
+/// Datagrams that an agent counted, dropped ones included, and requests at its target.
+async fn arrivals(system: &System, place: usize) -> (f64, u64) {
+    let admin = system.agent_admin(place);
+    let mut datagrams = 0.0;
+    for reason in ["bad-envelope", "not-quic", "other-agent", "other-service", "zone-out"] {
+        let name = format!("rhubarbthread_dropped_total{{reason=\"{reason}\"}}");
+        datagrams += system.metric(admin, &name).await;
+    }
+    datagrams += system.metric(admin, "rhubarbthread_received_total").await;
+    (datagrams, system.target(place).stats().answers)
+}
+
+async fn zone_out_and_in(subnet: u8, seed: u64) {
+    let services = vec![ServicePlan::new("vypocet", 6, 9)];
+    let mut plan = SystemPlan::new(subnet).with_services(services);
+    plan.seed = seed;
+    let (mut system, _folder) = support::start(plan).await;
+    let mut load = system.load_plan();
+    load.callers = 40;
+    load.requests = 110;
+    load.flow_requests = 5;
+    load.work_ms = 20;
+    load.streams = 30;
+    load.stream_chunks = 200;
+    let load = Load::new(load);
+    let running = tokio::spawn({
+        let load = Arc::clone(&load);
+        async move { load.run().await }
+    });
+    sleep(Duration::from_secs(2)).await;
+    let zone = "zlin-c";
+    let in_zone: Vec<usize> =
+        (0..system.places.len()).filter(|place| system.places[*place].zone == zone).collect();
+    let start = Instant::now();
+    system.set_zone(zone, true);
+    sleep(NO_PACKETS.saturating_sub(start.elapsed())).await;
+    let mut before = Vec::new();
+    for place in &in_zone {
+        before.push(arrivals(&system, *place).await);
+    }
+    sleep(OUT).await;
+    for (place, before) in in_zone.iter().zip(before) {
+        let after = arrivals(&system, *place).await;
+        assert_eq!(after, before, "packets into the zone\n{}", system.logs());
+    }
+    // The targets of the zone are cold when it comes back.
+    let mut cold = Vec::new();
+    for place in &in_zone {
+        system.target(*place).crash().await;
+        cold.push(system.start_target(*place, false).await);
+    }
+    system.set_zone(zone, false);
+    system
+        .wait_for("the zone serves again", BACK, async |_: &System| {
+            cold.iter().all(|target| target.stats().answers > 20)
+        })
+        .await;
+    let report = running.await.expect("the load runs to its end");
+    for target in &cold {
+        let stats = target.stats();
+        assert_eq!(stats.worst_excess, 0, "cold target above its limit: {stats:?}");
+    }
+    let outside = report.broken_flows
+        - report.reasons.get("zone-out").copied().unwrap_or(0).min(report.broken_flows);
+    assert_eq!(outside, 0, "{report:?}\n{}", system.logs());
+    assert_eq!(report.wrong, 0, "{report:?}");
+}
+
+cases! {
+    out_and_in_seed_1: support::run(zone_out_and_in(31, 1));
+    out_and_in_seed_2: support::run(zone_out_and_in(32, 2));
+}
