An agent that was frozen serves again; settings name unreadable certificates; docs

Cause: a frozen agent found its target's term passed when it went on, gave the target up, and then took the target's renewals as if nothing had happened: it stayed without a target for good (failures_store, freeze_of_an_agent: not ready within 30 s). Ruled out: the keepers (the record was refuted and spread). Change: a renewal after the term is refused, so the target announces itself. Before: failed as above. After: both freeze tests pass.

--- a/src/error.rs
+++ b/src/error.rs
@@ -91,7 +91,7 @@
     /// Exit code of a program that ends with this error.
     pub fn exit_code(&self) -> i32 {
         match self {
-            Error::Invalid { .. } | Error::Usage { .. } => EXIT_USAGE,
+            Error::Invalid { .. } | Error::Usage { .. } | Error::Tls { .. } => EXIT_USAGE,
             Error::Conflict { .. } => EXIT_CONFLICT,
             Error::Unknown { .. } => EXIT_UNKNOWN,
             _ => EXIT_FAILURE,
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -118,6 +118,7 @@
     announcement: Option<Announcement>,
     renewed_at_ms: u64,
     leaving: bool,
+    expired: bool,
     records: Records,
     last_binding: Option<Arc<Binding>>,
     bound: bool,
@@ -305,20 +306,23 @@
             knowledge.announcement = Some(announcement);
             knowledge.renewed_at_ms = self.now_ms();
             knowledge.leaving = false;
+            knowledge.expired = false;
         }
         self.leaving.send_replace(false);
         self.rebind();
         self.note_change();
     }
 
-    /// Takes in a renewal; false where this process is not the one announced.
+    /// Takes in a renewal; false where this process is not announced, or its term has passed: it
+    /// must announce itself again.
     pub fn renew(&self, process: &str) -> bool {
         let known = {
             let mut knowledge = self.knowledge.write().expect("lock is not poisoned");
             let known = knowledge
                 .announcement
                 .as_ref()
-                .is_some_and(|announcement| announcement.process == process);
+                .is_some_and(|announcement| announcement.process == process)
+                && !knowledge.expired;
             if known {
                 knowledge.renewed_at_ms = self.now_ms();
             }
@@ -509,10 +513,10 @@
             let silent_ms = self.now_ms().saturating_sub(knowledge.renewed_at_ms);
             let is_over = silent_ms >= self.settings.target_term_ms;
             let expired = knowledge.announcement.is_some() && is_over;
-            if expired {
-                knowledge.leaving = true;
-            }
-            expired && self.with_state(|state| state.admission().is_present())
+            let newly_expired = expired && !knowledge.expired;
+            knowledge.expired |= expired;
+            knowledge.leaving |= expired;
+            newly_expired
         };
         if expired {
             log_event!(Event::TargetExpired);
--- a/src/process/agent_reports.rs
+++ b/src/process/agent_reports.rs
@@ -96,7 +96,7 @@
         }
         self.silent_rounds += 1;
         self.keepers.clear();
-        if self.silent_rounds % ROUNDS_TO_CONTACTS == 0 {
+        if self.silent_rounds.is_multiple_of(ROUNDS_TO_CONTACTS) {
             self.read_contacts().await;
         }
     }
--- a/src/process/balancer.rs
+++ b/src/process/balancer.rs
@@ -45,7 +45,7 @@
 use crate::version::peer::Peer;
 use crate::version::peer::PeerCounts;
 use crate::version::record::BalancerRecord;
-use crate::version::record::RecordKey;
+use crate::version::record::Record;
 use crate::version::table::Table;
 use crate::wire::ControlRequest;
 use crate::wire::ControlResponse;
@@ -66,6 +66,7 @@
     clock: Box<dyn Clock>,
     trace: Trace,
     peer: Mutex<Peer>,
+    control: Arc<Control>,
     table: SharedTable,
     table_version: AtomicU64,
     store_answer_ms: AtomicU64,
@@ -137,12 +138,12 @@
         let now_ms = self.clock.now_ms();
         let store_ms = self.store_answer_ms.load(Ordering::Relaxed);
         self.with_peer(|peer| {
-            let others = peer.records().iter().filter(|record| match record.key() {
-                RecordKey::Balancer(control) => control != self.settings.control_address,
+            let knows_others = peer.records().iter().any(|record| match record {
+                Record::Balancer(other) => other.control != self.settings.control_address,
                 _ => false,
             });
             let last_ms = store_ms.max(peer.last_contact_ms().unwrap_or(0));
-            others.count() > 0 && now_ms.saturating_sub(last_ms) >= ISOLATED_MS
+            knows_others && now_ms.saturating_sub(last_ms) >= ISOLATED_MS
         })
     }
 
@@ -222,7 +223,11 @@
 
     fn status(&self) -> Value {
         let ready = self.unready_reason();
-        self.with_peer(|peer| status_of(peer, &self.settings, ready))
+        let mut status = self.with_peer(|peer| status_of(peer, &self.settings, ready));
+        let traffic = self.control.traffic();
+        status["control_sent_bytes"] = json!(traffic.sent_bytes);
+        status["control_received_bytes"] = json!(traffic.received_bytes);
+        status
     }
 }
 
@@ -288,6 +293,7 @@
         clock: Box::new(HostClock::new()),
         trace,
         peer: Mutex::new(peer),
+        control: Arc::clone(&control),
         table,
         table_version: AtomicU64::new(0),
         store_answer_ms: AtomicU64::new(0),
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -33,6 +33,9 @@
 /// Longest wait for an answer.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Connections after which the closed ones are looked for.
+const CONNECTIONS_BETWEEN_FOLDS: usize = 64;
+
 const SHARDS: usize = 8;
 
 /// Why a call failed.
@@ -66,6 +69,30 @@
     endpoint: Endpoint,
     connections: [Mutex<IndexMap<SocketAddrV4, Connection>>; SHARDS],
     hasher: RandomState,
+    traffic: Mutex<OpenTraffic>,
+}
+
+/// Bytes of all UDP payloads that the calls took.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+}
+
+#[derive(Default)]
+struct OpenTraffic {
+    closed: Traffic,
+    open: Vec<Connection>,
+}
+
+impl Traffic {
+    fn add(&mut self, connection: &Connection) {
+        let stats = connection.stats();
+        self.sent_bytes += stats.udp_tx.bytes;
+        self.received_bytes += stats.udp_rx.bytes;
+    }
 }
 
 impl Control {
@@ -76,16 +103,25 @@
             Endpoint::server(configs.server, address).context(SocketSnafu { address })?;
         endpoint.set_default_client_config(configs.client);
         let connections = std::array::from_fn(|_| Mutex::default());
-        Ok(Arc::new(Control { endpoint, connections, hasher: RandomState::new() }))
+        Ok(Arc::new(Control {
+            endpoint,
+            connections,
+            hasher: RandomState::new(),
+            traffic: Mutex::default(),
+        }))
     }
 
     /// Answers calls until the endpoint closes.
     pub async fn serve(self: Arc<Self>, handler: Arc<dyn ControlHandler>) {
         while let Some(incoming) = self.endpoint.accept().await {
             let handler = Arc::clone(&handler);
+            let control = Arc::clone(&self);
             tokio::spawn(async move {
                 match incoming.await {
-                    Ok(connection) => serve_connection(connection, handler).await,
+                    Ok(connection) => {
+                        control.count_traffic(&connection);
+                        serve_connection(connection, handler).await;
+                    }
                     Err(error) => log_event!(Event::PeerRefused, "{error}"),
                 }
             });
@@ -106,6 +142,31 @@
         answer
     }
 
+    /// Bytes so far, over all connections.
+    pub fn traffic(&self) -> Traffic {
+        let mut traffic = self.traffic.lock().expect("lock is not poisoned");
+        let connections = std::mem::take(&mut traffic.open);
+        let (closed, open): (Vec<_>, Vec<_>) =
+            connections.into_iter().partition(|connection| connection.close_reason().is_some());
+        closed.iter().for_each(|connection| traffic.closed.add(connection));
+        let mut total = traffic.closed;
+        open.iter().for_each(|connection| total.add(connection));
+        traffic.open = open;
+        total
+    }
+
+    fn count_traffic(&self, connection: &Connection) {
+        // Closed connections are folded into the sum, so that the list stays as long as the open ones.
+        let is_long = {
+            let mut traffic = self.traffic.lock().expect("lock is not poisoned");
+            traffic.open.push(connection.clone());
+            traffic.open.len() % CONNECTIONS_BETWEEN_FOLDS == 0
+        };
+        if is_long {
+            self.traffic();
+        }
+    }
+
     /// Closes all connections.
     pub async fn close(&self) {
         self.endpoint.close(0_u32.into(), b"stopped");
@@ -132,6 +193,7 @@
         }
         let connecting = self.endpoint.connect(SocketAddr::V4(peer), NODE_NAME).map_err(broken)?;
         let connection = connecting.await.map_err(broken)?;
+        self.count_traffic(&connection);
         let mut shard = self.shard(peer).lock().expect("lock is not poisoned");
         shard.retain(|_, connection| connection.close_reason().is_none());
         shard.insert(peer, connection.clone());
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -13,21 +13,16 @@
 use crate::process::logging;
 use crate::process::settings::LogSettings;
 
-/// Arguments of a daemon.
 #[derive(Debug, Options)]
-pub struct DaemonOptions {
-    /// Print help.
+struct DaemonOptions {
     #[options(help = "print this help and exit")]
-    pub help: bool,
-    /// Print the version.
+    help: bool,
     #[options(help = "print the version and exit", short = "V")]
-    pub version: bool,
-    /// Settings file.
+    version: bool,
     #[options(help = "settings, JSON with comments (see docs/SETTINGS.md)", meta = "FILE")]
-    pub config: Option<PathBuf>,
-    /// Check only.
+    config: Option<PathBuf>,
     #[options(help = "check the settings and exit: 0 where they are right, 2 where not")]
-    pub check: bool,
+    check: bool,
 }
 
 /// What differs between the daemons.
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -34,7 +34,7 @@
     /// Reads a file.
     pub fn open(path: &Path) -> Result<Document, Fault> {
         let fault =
-            |message: String| Fault { file: path.to_owned(), line: 1, key: String::new(), message };
+            |message: String| Fault { file: path.to_owned(), line: 0, key: String::new(), message };
         let text = fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
         if text.len() > MAX_FILE_BYTES {
             return Err(fault(format!("larger than {MAX_FILE_BYTES} bytes")));
--- a/src/process/fault.rs
+++ b/src/process/fault.rs
@@ -8,7 +8,7 @@
 pub struct Fault {
     /// The file.
     pub file: PathBuf,
-    /// Line in the file, from 1.
+    /// Line in the file, from 1; 0 for a file or folder as a whole.
     pub line: usize,
     /// Path of the key, with dots; empty for the whole file.
     pub key: String,
@@ -18,7 +18,11 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: ", self.file.display(), self.line)?;
+        write!(f, "{}:", self.file.display())?;
+        if self.line > 0 {
+            write!(f, "{}:", self.line)?;
+        }
+        f.write_str(" ")?;
         if !self.key.is_empty() {
             write!(f, "{}: ", self.key)?;
         }
--- a/src/process/operator.rs
+++ b/src/process/operator.rs
@@ -32,9 +32,8 @@
   3  another operator was first
   4  unknown whether the store accepted; run the same command again";
 
-/// Arguments of the tool.
 #[derive(Debug, Options)]
-pub struct OperatorOptions {
+struct OperatorOptions {
     #[options(help = "print this help and exit")]
     help: bool,
     #[options(help = "print the version and exit", short = "V")]
@@ -167,7 +166,7 @@
 
 fn run_check(options: &CheckOptions) -> Result<i32> {
     let specs = read_folder(&options.folder)?;
-    println!("{} services are right", specs.len());
+    println!("services checked, no fault: {}", specs.len());
     Ok(EXIT_SUCCESS)
 }
 
@@ -244,7 +243,8 @@
 }
 
 fn print_help(options: &OperatorOptions) {
-    println!("Usage: {NAME} [--config FILE] COMMAND [ARGUMENTS]\n");
+    let command = options.command_name().unwrap_or("COMMAND");
+    println!("Usage: {NAME} [--config FILE] {command} [ARGUMENTS]\n");
     println!("{}\n", options.self_usage());
     if let Some(commands) = options.self_command_list() {
         println!("Commands:\n{commands}\n");
--- a/src/process/service_file.rs
+++ b/src/process/service_file.rs
@@ -112,7 +112,7 @@
 }
 
 fn folder_fault(folder: &Path, message: String) -> Fault {
-    Fault { file: folder.to_owned(), line: 1, key: String::new(), message }
+    Fault { file: folder.to_owned(), line: 0, key: String::new(), message }
 }
 
 fn shared_names(specs: &[(PathBuf, ServiceSpec)]) -> Vec<Fault> {
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -12,6 +12,7 @@
 use crate::error::Result;
 use crate::process::document::Document;
 use crate::process::document::Section;
+use crate::process::tls;
 
 /// Longest wait for running work at a planned stop, in milliseconds (ten minutes).
 const MAX_STOP_MS: u64 = 600_000;
@@ -249,6 +250,7 @@
 
 fn read_node_tls(section: &Section<'_>) -> Option<NodeTls> {
     let authority = section.path("authority");
+    check_file(section, "authority", authority.as_deref(), tls::read_roots);
     let node = read_certificate(section);
     Some(NodeTls { authority: authority?, node: node? })
 }
@@ -256,9 +258,23 @@
 fn read_certificate(section: &Section<'_>) -> Option<CertificateFiles> {
     let certificate = section.path("certificate");
     let private_key = section.path("private_key");
+    check_file(section, "certificate", certificate.as_deref(), tls::read_certificates);
+    check_file(section, "private_key", private_key.as_deref(), tls::read_key);
     Some(CertificateFiles { certificate: certificate?, private_key: private_key? })
 }
 
+/// Adds a fault where a file cannot be read as what it should be.
+fn check_file<T>(
+    section: &Section<'_>,
+    key: &str,
+    path: Option<&Path>,
+    read: impl FnOnce(&Path) -> Result<T>,
+) {
+    if let Some(Err(error)) = path.map(read) {
+        section.fault(key, error.to_string());
+    }
+}
+
 fn read_log(section: &Section<'_>) -> Option<LogSettings> {
     let format = section.choice("format", &["text", "json"], "text");
     let level = section.choice("level", &["error", "warn", "info", "debug", "trace"], "info");
--- a/src/process/tls.rs
+++ b/src/process/tls.rs
@@ -131,15 +131,18 @@
     transport
 }
 
-fn read_roots(path: &Path) -> Result<RootCertStore> {
+/// Reads the certificates of authorities from a PEM file.
+pub fn read_roots(path: &Path) -> Result<RootCertStore> {
     let mut roots = RootCertStore::empty();
     for certificate in read_certificates(path)? {
-        roots.add(certificate).map_err(tls_error)?;
+        let added = roots.add(certificate);
+        added.map_err(|error| Error::Tls { message: format!("{}: {error}", path.display()) })?;
     }
     Ok(roots)
 }
 
-fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
+/// Reads a certificate chain from a PEM file.
+pub fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
     let mut reader = BufReader::new(File::open(path).context(FileSnafu { path })?);
     let certificates: Vec<CertificateDer<'static>> =
         rustls_pemfile::certs(&mut reader).collect::<Result<_, _>>().context(FileSnafu { path })?;
@@ -150,7 +153,8 @@
     Ok(certificates)
 }
 
-fn read_key(path: &Path) -> Result<PrivateKeyDer<'static>> {
+/// Reads a private key from a PEM file.
+pub fn read_key(path: &Path) -> Result<PrivateKeyDer<'static>> {
     let mut reader = BufReader::new(File::open(path).context(FileSnafu { path })?);
     let key = rustls_pemfile::private_key(&mut reader).context(FileSnafu { path })?;
     key.ok_or_else(|| Error::Tls { message: format!("{} holds no private key", path.display()) })
--- a/src/version/keeper.rs
+++ b/src/version/keeper.rs
@@ -51,8 +51,18 @@
     /// Number of the set that a target is in, within its service.
     pub fn set_of(&self, service: &str, target: SocketAddrV4) -> u64 {
         let count = self.target_counts.get(service).copied().unwrap_or(0);
-        let sets = count.div_ceil(TARGETS_PER_SET).max(1) as u64;
-        hash64(target.to_string().as_bytes()) % sets
+        KeeperSets::set_among(Some(sets_for(count)), target)
+    }
+
+    /// Number of sets of each service.
+    pub fn set_counts(&self) -> IndexMap<String, u64> {
+        let sets = |(service, count): (&&str, &usize)| ((*service).to_owned(), sets_for(*count));
+        self.target_counts.iter().map(sets).collect()
+    }
+
+    /// Number of the set that a target is in, among `sets` ones.
+    pub fn set_among(sets: Option<u64>, target: SocketAddrV4) -> u64 {
+        hash64(target.to_string().as_bytes()) % sets.unwrap_or(1)
     }
 
     /// Keepers of a set, best first, by control address.
@@ -70,6 +80,10 @@
     }
 }
 
+fn sets_for(targets: usize) -> u64 {
+    targets.div_ceil(TARGETS_PER_SET).max(1) as u64
+}
+
 /// Chooses the keepers of a target, best first, by control address.
 pub fn keepers_of(records: &Records, service: &str, target: SocketAddrV4) -> Vec<SocketAddrV4> {
     let sets = KeeperSets::new(records);
@@ -131,7 +145,7 @@
                 capacity += u64::from(heard.heartbeat.flow_capacity);
             }
         }
-        if capacity == 0 { 0 } else { flows * PERMILLE / capacity }
+        (flows * PERMILLE).checked_div(capacity).unwrap_or(0)
     }
 
     /// Targets that have been silent for [`SILENCE_MS`], with the incarnation last heard.
--- a/src/version/peer.rs
+++ b/src/version/peer.rs
@@ -21,7 +21,6 @@
 use crate::version::keeper::Keeper;
 use crate::version::keeper::KeeperSets;
 use crate::version::keeper::SILENCE_MS;
-use crate::version::keeper::keepers_of;
 use crate::version::message;
 use crate::version::record::BalancerRecord;
 use crate::version::record::Phase;
@@ -113,6 +112,15 @@
     next_review_ms: u64,
     last_contact_ms: Option<u64>,
     counts: PeerCounts,
+    keepers: KeeperCache,
+}
+
+/// Keepers by service and set, of one version of the records.
+#[derive(Clone, Debug, Default)]
+struct KeeperCache {
+    version: u64,
+    keepers: IndexMap<(String, u64), Vec<SocketAddrV4>>,
+    sets: IndexMap<String, u64>,
 }
 
 impl Peer {
@@ -133,6 +141,7 @@
             next_review_ms: 0,
             last_contact_ms: None,
             counts: PeerCounts::default(),
+            keepers: KeeperCache::default(),
             own,
         };
         peer.take(&Record::Balancer(peer.own.clone()));
@@ -318,17 +327,14 @@
     fn note_zone(&mut self, record: &Record) {
         match record {
             Record::Zone(zone) if zone.out => {
-                if self.zones_in_use.swap_remove(&zone.name) {
-                    self.draining_until_ms.insert(zone.name.clone(), None);
-                }
+                let was_in_use = self.zones_in_use.swap_remove(&zone.name);
+                self.draining_until_ms.extend(was_in_use.then(|| (zone.name.clone(), None)));
             }
             Record::Zone(zone) => {
                 self.zones_in_use.insert(zone.name.clone());
             }
             Record::Target(target) if !self.records.is_zone_out(&target.zone) => {
-                if !self.zones_in_use.contains(&target.zone) {
-                    self.zones_in_use.insert(target.zone.clone());
-                }
+                self.zones_in_use.insert(target.zone.clone());
             }
             _ => {}
         }
@@ -543,7 +549,7 @@
             answer.known_sequence = known.sequence;
             answer.known_lost = known.lost;
         }
-        let keepers = keepers_of(&self.records, &target.service, target.data);
+        let keepers = self.keepers_of(&target.service, target.data);
         if addresses_digest(&keepers) != report.keepers_digest {
             answer.keepers = keepers.into_iter().map(to_hop).collect();
         }
@@ -560,6 +566,26 @@
         Some(configuration_digest(self.agent_configuration(&target.service).into_iter()))
     }
 
+    /// Keepers of a target, worked out once for each set and version of the records.
+    fn keepers_of(&mut self, service: &str, target: SocketAddrV4) -> Vec<SocketAddrV4> {
+        let version = self.records.version();
+        if self.keepers.version != version || self.keepers.sets.is_empty() {
+            self.keepers = KeeperCache {
+                version,
+                keepers: IndexMap::new(),
+                sets: KeeperSets::new(&self.records).set_counts(),
+            };
+        }
+        let set = KeeperSets::set_among(self.keepers.sets.get(service).copied(), target);
+        let key = (service.to_owned(), set);
+        if let Some(keepers) = self.keepers.keepers.get(&key) {
+            return keepers.clone();
+        }
+        let keepers = KeeperSets::new(&self.records).keepers(service, set);
+        self.keepers.keepers.insert(key, keepers.clone());
+        keepers
+    }
+
     /// Configuration that an agent of a service needs: the service and all zones.
     fn agent_configuration(&self, service: &str) -> Vec<&Record> {
         let needed = |record: &&Record| match record {
@@ -628,7 +654,7 @@
 
     fn ask_other_keepers(&mut self, target: SocketAddrV4, incarnation: u64) -> Vec<Outgoing> {
         let service = self.records.target(target).map(|record| record.service.clone());
-        let keepers = keepers_of(&self.records, &service.unwrap_or_default(), target);
+        let keepers = self.keepers_of(&service.unwrap_or_default(), target);
         let others: Vec<SocketAddrV4> =
             keepers.into_iter().filter(|keeper| *keeper != self.own.control).collect();
         if others.is_empty() {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod fabric;
 pub mod load;
+pub mod spread;
 pub mod store;
 pub mod system;
 pub mod target;
--- /dev/null
+++ b/standins/src/spread.rs
@@ -0,0 +1,332 @@
+//! The project's own spreading of records between many balancers, driven by an event loop in one
+//! process: calls take time, cost bytes, and fail between parts that are cut from each other.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use prost::Message;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rhubarbthread::version::message;
+use rhubarbthread::version::peer::Outgoing;
+use rhubarbthread::version::peer::Peer;
+use rhubarbthread::version::peer::addresses_digest;
+use rhubarbthread::version::record::BalancerRecord;
+use rhubarbthread::version::record::Phase;
+use rhubarbthread::version::record::TargetRecord;
+use rhubarbthread::wire;
+use rhubarbthread::wire::control_request::Kind as RequestKind;
+use rhubarbthread::wire::control_response::Kind as ResponseKind;
+
+/// Time between two ticks of a balancer, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// Time between two heartbeats of an agent, in milliseconds.
+const REPORT_MS: u64 = 1_100;
+
+/// Time after which a call that gets no answer fails, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// Bytes of QUIC, UDP and acknowledgements on top of each message.
+pub const MESSAGE_OVERHEAD_BYTES: u64 = 90;
+
+/// Which nodes cannot reach each other.
+pub type Cut = Box<dyn Fn(usize, usize) -> bool>;
+
+enum Event {
+    Tick(usize),
+    Report(usize),
+    Arrive { from: usize, call: Outgoing, follows: bool },
+    Answer { to: usize, call: Outgoing, response: wire::ControlResponse },
+    Fail { to: usize, call: Outgoing },
+}
+
+struct Due {
+    at_ms: u64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
+        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
+    }
+}
+
+/// Bytes and messages of one balancer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeTraffic {
+    /// Bytes sent, overhead included.
+    pub sent_bytes: u64,
+    /// Bytes received, overhead included.
+    pub received_bytes: u64,
+    /// Messages sent.
+    pub sent_messages: u64,
+}
+
+/// An agent that reports.
+#[derive(Clone, Debug)]
+pub struct SpreadAgent {
+    /// Its record.
+    pub record: TargetRecord,
+    /// Whether it is alive.
+    pub alive: bool,
+    keepers: Vec<SocketAddrV4>,
+}
+
+/// Balancers and agents that exchange records.
+pub struct Spread {
+    /// Balancers.
+    pub peers: Vec<Peer>,
+    /// Whether each balancer runs.
+    pub running: Vec<bool>,
+    /// Agents.
+    pub agents: Vec<SpreadAgent>,
+    /// Traffic of each balancer.
+    pub traffic: Vec<NodeTraffic>,
+    /// What is cut.
+    pub cut: Cut,
+    now_ms: u64,
+    delay_ms: u64,
+    order: u64,
+    queue: BinaryHeap<Reverse<Due>>,
+    random: StdRng,
+}
+
+/// Control address of a balancer.
+pub fn control_address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from_bits(0x0a01_0000 + index as u32), 7001)
+}
+
+/// Data address of an agent.
+pub fn agent_address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from_bits(0x0a02_0000 + index as u32), 7000)
+}
+
+fn index_of(control: SocketAddrV4) -> usize {
+    (control.ip().to_bits() - 0x0a01_0000) as usize
+}
+
+fn balancer(index: usize, zones: usize, incarnation: u64) -> BalancerRecord {
+    BalancerRecord {
+        control: control_address(index),
+        incarnation,
+        sequence: 0,
+        lost: false,
+        zone: format!("zone-{}", index % zones),
+        admin: control_address(index),
+        gone: false,
+    }
+}
+
+impl Spread {
+    /// Creates balancers and agents that know only their seeds.
+    pub fn new(
+        balancers: usize,
+        agents: usize,
+        services: usize,
+        zones: usize,
+        seed: u64,
+    ) -> Spread {
+        let seeds = [control_address(0), control_address(1), control_address(2)];
+        let peers = (0..balancers).map(|index| Peer::new(balancer(index, zones, 1), &seeds));
+        let agent = |index: usize| SpreadAgent {
+            record: TargetRecord {
+                data: agent_address(index),
+                incarnation: 1,
+                sequence: 0,
+                lost: false,
+                service: format!("service-{}", index % services),
+                zone: format!("zone-{}", index % zones),
+                slots: 9,
+                connections: 2_000,
+                phase: Phase::Serving,
+            },
+            alive: true,
+            keepers: Vec::new(),
+        };
+        let mut spread = Spread {
+            peers: peers.collect(),
+            running: vec![true; balancers],
+            agents: (0..agents).map(agent).collect(),
+            traffic: vec![NodeTraffic::default(); balancers],
+            cut: Box::new(|_, _| false),
+            now_ms: 0,
+            delay_ms: 2,
+            order: 0,
+            queue: BinaryHeap::new(),
+            random: StdRng::seed_from_u64(seed),
+        };
+        for index in 0..balancers {
+            let at_ms = spread.random.random_range(0..TICK_MS);
+            spread.push(at_ms, Event::Tick(index));
+        }
+        for index in 0..agents {
+            let at_ms = spread.random.random_range(0..REPORT_MS);
+            spread.push(at_ms, Event::Report(index));
+        }
+        spread
+    }
+
+    /// Time now, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Replaces a balancer by one that knows nothing but its seeds.
+    pub fn replace(&mut self, index: usize, zones: usize) {
+        let seeds = [control_address(0), control_address(1), control_address(2)];
+        let incarnation = self.peers[index].own().incarnation + 1;
+        self.peers[index] = Peer::new(balancer(index, zones, incarnation), &seeds);
+        self.running[index] = true;
+    }
+
+    /// Sets the traffic counts to zero.
+    pub fn reset_traffic(&mut self) {
+        self.traffic.fill(NodeTraffic::default());
+    }
+
+    /// Runs for a time; returns early once `until` holds, which is asked every `TICK_MS`.
+    pub fn run(&mut self, duration_ms: u64, until: impl Fn(&Spread) -> bool) -> u64 {
+        let start_ms = self.now_ms;
+        let end_ms = start_ms + duration_ms;
+        let mut next_look_ms = start_ms;
+        while let Some(Reverse(due)) = self.queue.pop() {
+            if due.at_ms >= next_look_ms {
+                self.now_ms = due.at_ms;
+                next_look_ms = due.at_ms + TICK_MS;
+                if until(self) || due.at_ms >= end_ms {
+                    self.queue.push(Reverse(due));
+                    break;
+                }
+            }
+            self.now_ms = due.at_ms;
+            self.handle(due.event);
+        }
+        self.now_ms - start_ms
+    }
+
+    fn push(&mut self, at_ms: u64, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse(Due { at_ms, order: self.order, event }));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(index) => self.tick(index),
+            Event::Report(index) => self.report(index),
+            Event::Arrive { from, call, follows } => self.arrive(from, call, follows),
+            Event::Answer { to, call, response } => {
+                let size = response.encoded_len() as u64 + MESSAGE_OVERHEAD_BYTES;
+                self.traffic[to].received_bytes += size;
+                let calls = self.peers[to].answered(self.now_ms, &call, &response);
+                self.send_all(to, calls);
+            }
+            Event::Fail { to, call } => self.peers[to].failed(&call),
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.push(self.now_ms + TICK_MS, Event::Tick(index));
+        if !self.running[index] {
+            return;
+        }
+        let random = self.random.random();
+        let calls = self.peers[index].tick(self.now_ms, random);
+        self.send_all(index, calls);
+    }
+
+    fn send_all(&mut self, from: usize, calls: Vec<Outgoing>) {
+        for call in calls {
+            let size = call.request.encoded_len() as u64 + MESSAGE_OVERHEAD_BYTES;
+            self.traffic[from].sent_bytes += size;
+            self.traffic[from].sent_messages += 1;
+            self.push(self.now_ms + self.delay_ms, Event::Arrive { from, call, follows: true });
+        }
+    }
+
+    fn arrive(&mut self, from: usize, call: Outgoing, follows: bool) {
+        let to = index_of(call.to);
+        let reachable = to < self.peers.len() && self.running[to] && !(self.cut)(from, to);
+        if !reachable || !follows {
+            self.push(self.now_ms + CALL_TIMEOUT_MS, Event::Fail { to: from, call });
+            return;
+        }
+        let response = self.answer(to, &call.request);
+        self.push(self.now_ms + self.delay_ms, Event::Answer { to: from, call, response });
+    }
+
+    fn answer(&mut self, index: usize, request: &wire::ControlRequest) -> wire::ControlResponse {
+        let response = self.peers[index].answer(self.now_ms, request);
+        let traffic = &mut self.traffic[index];
+        traffic.received_bytes += request.encoded_len() as u64 + MESSAGE_OVERHEAD_BYTES;
+        traffic.sent_bytes += response.encoded_len() as u64 + MESSAGE_OVERHEAD_BYTES;
+        traffic.sent_messages += 1;
+        response
+    }
+
+    fn report(&mut self, index: usize) {
+        self.push(self.now_ms + REPORT_MS, Event::Report(index));
+        let agent = self.agents[index].clone();
+        if !agent.alive {
+            return;
+        }
+        let seed = self.random.random_range(0..3.min(self.peers.len()));
+        let peers =
+            if agent.keepers.is_empty() { vec![control_address(seed)] } else { agent.keepers };
+        let request = report_request(&agent.record, &peers);
+        let mut any = false;
+        for peer in peers {
+            let to = index_of(peer);
+            if !self.running[to] {
+                continue;
+            }
+            let response = self.answer(to, &request);
+            if let Some(ResponseKind::Report(answer)) = response.kind {
+                any = true;
+                take_answer(&mut self.agents[index], &answer);
+            }
+        }
+        if !any {
+            self.agents[index].keepers.clear();
+        }
+    }
+}
+
+fn report_request(record: &TargetRecord, keepers: &[SocketAddrV4]) -> wire::ControlRequest {
+    let report = wire::Report {
+        target: Some(message::target_to_message(record)),
+        flows: 100,
+        busy_slots: 3,
+        configuration_digest: 0,
+        keepers_digest: addresses_digest(keepers),
+    };
+    wire::ControlRequest { kind: Some(RequestKind::Report(report)) }
+}
+
+fn take_answer(agent: &mut SpreadAgent, answer: &wire::ReportAnswer) {
+    let address = rhubarbthread::connection::envelope::from_hop;
+    if !answer.keepers.is_empty() {
+        agent.keepers = answer.keepers.iter().filter_map(address).collect();
+    }
+    if answer.known_lost {
+        agent.record.sequence = answer.known_sequence + 1;
+    }
+}
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,123 @@
+//! The catalogues in docs/ and the code say the same.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+
+use rhubarbthread::process::agent_socket::AgentDrop;
+use rhubarbthread::process::events::Event;
+use rhubarbthread::request::verdict::Refusal;
+use rhubarbthread::version::table::Drop;
+
+fn read(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
+    fs::read_to_string(path).unwrap_or_else(|error| panic!("{name}: {error}"))
+}
+
+/// Lines of the catalogue of log events.
+fn event_lines() -> Vec<String> {
+    let line = |event: &Event| {
+        format!(
+            "| {} | {} | {} |",
+            event.number(),
+            event.level().as_str().to_lowercase(),
+            event.text()
+        )
+    };
+    Event::ALL.iter().map(line).collect()
+}
+
+/// Every key that the code reads, by the calls of its reader.
+fn keys_in_code() -> Vec<String> {
+    let calls = [
+        "name(\"",
+        "names(\"",
+        "address_v4(\"",
+        "address(\"",
+        "addresses_v4(\"",
+        "section(\"",
+        "optional_section(\"",
+        "sections(\"",
+        "path(\"",
+        "optional_path(\"",
+        "number(\"",
+        "text(\"",
+        "texts(\"",
+        "choice(\"",
+        "optional_text(\"",
+    ];
+    let mut keys = Vec::new();
+    for file in ["src/process/settings.rs", "src/process/service_file.rs", "src/process/keys.rs"] {
+        let code = read(file);
+        for call in calls {
+            for part in code.split(&format!(".{call}")).skip(1) {
+                keys.push(part.split('"').next().unwrap_or_default().to_owned());
+            }
+        }
+    }
+    keys
+}
+
+cases! {
+    every_event_is_in_the_catalogue: {
+        let catalogue = read("docs/LOG-EVENTS.md");
+        for line in event_lines() {
+            assert!(catalogue.contains(&line), "docs/LOG-EVENTS.md misses: {line}");
+        }
+        let rows = catalogue.lines().filter(|line| line.starts_with("| ") && !line.contains("---"));
+        assert_eq!(rows.count(), Event::ALL.len() + 1, "docs/LOG-EVENTS.md has a row too many");
+    };
+    event_numbers_are_unique: {
+        let mut numbers: Vec<u16> = Event::ALL.iter().map(|event| event.number()).collect();
+        numbers.sort_unstable();
+        numbers.dedup();
+        assert_eq!(numbers.len(), Event::ALL.len());
+    };
+    every_setting_is_described: {
+        let page = read("docs/SETTINGS.md");
+        let keys = keys_in_code();
+        assert!(keys.len() > 30, "the reader's calls are found: {keys:?}");
+        for key in keys {
+            assert!(page.contains(&format!("`{key}`")), "docs/SETTINGS.md misses {key}");
+        }
+    };
+    every_reason_is_described: {
+        let page = read("docs/OPERATING.md");
+        let refusals = Refusal::ALL.iter().map(|reason| reason.as_str());
+        let drops = Drop::ALL.iter().map(|reason| reason.as_str());
+        let agent_drops = AgentDrop::ALL.iter().map(|reason| reason.as_str());
+        for reason in refusals.chain(drops).chain(agent_drops) {
+            assert!(page.contains(&format!("`{reason}`")), "docs/OPERATING.md misses {reason}");
+        }
+    };
+    one_import_a_line: {
+        for file in rust_files(Path::new(env!("CARGO_MANIFEST_DIR"))) {
+            let code = fs::read_to_string(&file).expect("it is readable");
+            let braced = code.lines().find(|line| {
+                let line = line.trim_start();
+                (line.starts_with("use ") || line.starts_with("pub use ")) && line.contains('{')
+            });
+            assert_eq!(braced, None, "{}", file.display());
+        }
+    };
+}
+
+fn rust_files(root: &Path) -> Vec<std::path::PathBuf> {
+    let mut files = Vec::new();
+    for folder in ["src", "tests", "standins/src", "examples"] {
+        collect(&root.join(folder), &mut files);
+    }
+    files
+}
+
+fn collect(folder: &Path, files: &mut Vec<std::path::PathBuf>) {
+    for entry in fs::read_dir(folder).into_iter().flatten().flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            collect(&path, files);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            files.push(path);
+        }
+    }
+}
--- /dev/null
+++ b/tests/failures_spread.rs
@@ -0,0 +1,142 @@
+//! Cut-off balancers and regions, with the project's own state machines in one process.
+
+mod support;
+
+use rhubarbthread::process::configuration::zone_key;
+use rhubarbthread::version::record::Record;
+use rhubarbthread::version::record::ZoneRecord;
+use rhubarbthread_standins::spread::Spread;
+
+/// Time in which an accepted configuration is in force everywhere, in milliseconds.
+const IN_FORCE_MS: u64 = 7_000;
+
+/// Time for records to spread at the start, in milliseconds.
+const START_MS: u64 = 60_000;
+
+/// Time in which a dead target is known everywhere, in milliseconds.
+const DETECT_MS: u64 = 12_000;
+
+fn zone(revision: u64, out: bool) -> Record {
+    assert!(zone_key("zone-1").ends_with("zone-1"));
+    Record::Zone(ZoneRecord { revision, name: "zone-1".to_owned(), out })
+}
+
+fn started(balancers: usize, agents: usize, seed: u64) -> Spread {
+    let mut spread = Spread::new(balancers, agents, 4, 4, seed);
+    spread.peers[0].read_from_store(&[zone(1, false)], true);
+    let took = spread.run(START_MS, |spread| knows_all(spread) && all_have(spread, 1));
+    assert!(took < START_MS, "seed {seed}: records do not spread");
+    spread
+}
+
+fn knows_all(spread: &Spread) -> bool {
+    let expected = spread.peers.len() + spread.agents.len() + 1;
+    spread.peers.iter().all(|peer| peer.records().len() == expected && peer.is_configured())
+}
+
+fn all_have(spread: &Spread, revision: u64) -> bool {
+    spread.peers.iter().all(|peer| peer.records().configuration_revision() == revision)
+}
+
+fn lost_balancers(spread: &Spread) -> usize {
+    let all = spread.peers.len();
+    spread.peers.iter().map(|peer| all - peer.records().live_balancers().count()).sum()
+}
+
+fn lost_targets(spread: &Spread) -> usize {
+    let lost = |spread: &Spread, peer: usize| {
+        spread.peers[peer].records().targets().filter(|target| target.lost).count()
+    };
+    (0..spread.peers.len()).map(|peer| lost(spread, peer)).sum()
+}
+
+/// One balancer is cut off from all others: it keeps what it knew, forwards by it, and is told the
+/// change once it is reached again. Nobody else is harmed.
+fn one_cut_off(seed: u64) {
+    let mut spread = started(12, 24, seed);
+    spread.cut = Box::new(|from, to| from == 5 || to == 5);
+    spread.peers[0].read_from_store(&[zone(2, true)], true);
+    let others_have = |spread: &Spread| {
+        let revision = |index: usize| spread.peers[index].records().configuration_revision();
+        (0..12).filter(|index| *index != 5).all(|index| revision(index) == 2)
+    };
+    let took = spread.run(IN_FORCE_MS, others_have);
+    assert!(took < IN_FORCE_MS, "seed {seed}: not in force at the others");
+    spread.run(20_000, |_| false);
+    assert_eq!(spread.peers[5].records().configuration_revision(), 1, "it cannot know");
+    let last_ms = spread.peers[5].last_contact_ms().unwrap_or(0);
+    assert!(spread.now_ms() - last_ms > 15_000, "it can tell that it is cut off");
+    assert_eq!(lost_targets(&spread), 0, "seed {seed}: no target is taken for lost");
+    spread.cut = Box::new(|_, _| false);
+    let took = spread.run(30_000, |spread| all_have(spread, 2) && lost_balancers(spread) == 0);
+    assert!(took < 30_000, "seed {seed}: it does not come back");
+}
+
+/// Two regions lose each other for minutes; each goes on, and they find each other again.
+fn regions_apart(seed: u64) {
+    let mut spread = started(16, 32, seed);
+    spread.cut = Box::new(|from, to| (from < 8) != (to < 8));
+    spread.run(180_000, |_| false);
+    assert!(lost_balancers(&spread) > 0, "each region takes the other for lost");
+    spread.peers[0].read_from_store(&[zone(2, true)], true);
+    spread.run(IN_FORCE_MS, |_| false);
+    for index in 0..16 {
+        let revision = spread.peers[index].records().configuration_revision();
+        assert_eq!(revision, if index < 8 { 2 } else { 1 }, "seed {seed}: balancer {index}");
+    }
+    spread.cut = Box::new(|_, _| false);
+    let whole = |spread: &Spread| {
+        all_have(spread, 2) && lost_balancers(spread) == 0 && lost_targets(spread) == 0
+    };
+    let took = spread.run(60_000, whole);
+    assert!(took < 60_000, "seed {seed}: the regions do not come together");
+}
+
+/// Dead agents are declared lost everywhere, live ones never.
+fn dead_targets(seed: u64) {
+    let mut spread = started(12, 40, seed);
+    for agent in 0..5 {
+        spread.agents[agent].alive = false;
+    }
+    let took = spread.run(DETECT_MS, |spread| lost_targets(spread) == 5 * spread.peers.len());
+    assert!(took < DETECT_MS, "seed {seed}: not detected");
+    spread.run(30_000, |_| false);
+    assert_eq!(lost_targets(&spread), 5 * spread.peers.len(), "seed {seed}");
+}
+
+/// All keepers of some targets die together with the targets; the rest still finds out.
+fn keepers_die_too(seed: u64) {
+    let mut spread = started(12, 24, seed);
+    for agent in 0..4 {
+        spread.agents[agent].alive = false;
+    }
+    for index in 3..9 {
+        spread.running[index] = false;
+    }
+    let found = |spread: &Spread| {
+        let survivors = (0..12).filter(|index| spread.running[*index]);
+        survivors
+            .map(|index| &spread.peers[index])
+            .all(|peer| peer.records().targets().filter(|target| target.lost).count() == 4)
+    };
+    let took = spread.run(60_000, found);
+    assert!(took < 60_000, "seed {seed}: dead targets stay");
+    for index in 3..9 {
+        spread.replace(index, 4);
+    }
+    let took = spread.run(30_000, |spread| lost_balancers(spread) == 0 && all_have(spread, 1));
+    assert!(took < 30_000, "seed {seed}: replaced balancers do not come back");
+}
+
+fn for_seeds(test: impl Fn(u64)) {
+    for seed in 0..5 {
+        test(seed);
+    }
+}
+
+cases! {
+    balancer_cut_off: for_seeds(one_cut_off);
+    regions_apart_for_minutes: for_seeds(regions_apart);
+    dead_targets_are_found: for_seeds(dead_targets);
+    keepers_and_targets_die_together: for_seeds(keepers_die_too);
+}
