Cut-off balancers judge nobody; dead balancers are found within seconds

Cause: a dead balancer was noticed only after three exchanges happened to choose it (a minute or more), so targets whose keepers had died with them stayed in use; and a balancer that was cut off took all others, and then their targets, for lost. Change: a failed call is tried again at once, three failures are a loss, unless nobody else was heard meanwhile; a balancer that believes most others lost waits 30 s before it judges targets alone; a service all of whose targets are believed lost tries them all the same.

--- a/src/process/balancer.rs
+++ b/src/process/balancer.rs
@@ -169,7 +169,8 @@
                 Err(error) => {
                     count(&self.metrics.call_failures, failure_label(&error));
                     log_event!(Event::CallFailed, "peer={} {error}", call.to);
-                    self.change_peer(|peer| peer.failed(&call));
+                    let now_ms = self.clock.now_ms();
+                    due.extend(self.change_peer(|peer| peer.failed(now_ms, &call)));
                 }
             }
         }
--- a/src/version/peer.rs
+++ b/src/version/peer.rs
@@ -47,6 +47,10 @@
 /// Failed calls in a row after which a peer is declared lost.
 const FAILURES_TO_LOST: u32 = 3;
 
+/// Silence of all other balancers after which one that believes most of them lost judges targets
+/// alone, in milliseconds.
+const MINORITY_SILENCE_MS: u64 = 30_000;
+
 /// Time between two looks at which targets to keep, in milliseconds.
 const KEEP_REVIEW_MS: u64 = 5_000;
 
@@ -86,6 +90,13 @@
     pub balancers_lost: u64,
 }
 
+/// Failed calls in a row to one peer.
+#[derive(Clone, Copy, Debug)]
+struct Failures {
+    count: u32,
+    since_ms: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Confirmation {
     incarnation: u64,
@@ -103,7 +114,7 @@
     keeper: Keeper,
     configured: bool,
     rumors: IndexSet<RecordKey>,
-    failures: IndexMap<SocketAddrV4, u32>,
+    failures: IndexMap<SocketAddrV4, Failures>,
     confirmations: IndexMap<SocketAddrV4, Confirmation>,
     ended_at_ms: IndexMap<RecordKey, u64>,
     draining_until_ms: IndexMap<String, Option<u64>>,
@@ -111,6 +122,7 @@
     next_exchange_ms: u64,
     next_review_ms: u64,
     last_contact_ms: Option<u64>,
+    last_heard_ms: Option<u64>,
     counts: PeerCounts,
     keepers: KeeperCache,
 }
@@ -140,6 +152,7 @@
             next_exchange_ms: 0,
             next_review_ms: 0,
             last_contact_ms: None,
+            last_heard_ms: None,
             counts: PeerCounts::default(),
             keepers: KeeperCache::default(),
             own,
@@ -173,7 +186,7 @@
         self.configured
     }
 
-    /// Time of the last answer of any peer, in milliseconds.
+    /// Time at which another balancer was last heard, in milliseconds.
     pub fn last_contact_ms(&self) -> Option<u64> {
         self.last_contact_ms
     }
@@ -223,6 +236,10 @@
 
     /// Answers a call.
     pub fn answer(&mut self, now_ms: u64, request: &wire::ControlRequest) -> wire::ControlResponse {
+        self.last_heard_ms = Some(now_ms);
+        if !matches!(request.kind, Some(RequestKind::Report(_)) | None) {
+            self.last_contact_ms = Some(now_ms);
+        }
         let kind = match &request.kind {
             Some(RequestKind::Report(report)) => {
                 self.answer_report(now_ms, report).map(ResponseKind::Report)
@@ -253,6 +270,7 @@
         call: &Outgoing,
         response: &wire::ControlResponse,
     ) -> Vec<Outgoing> {
+        self.last_heard_ms = Some(now_ms);
         self.last_contact_ms = Some(now_ms);
         self.failures.swap_remove(&call.to);
         match (&call.request.kind, &response.kind) {
@@ -262,23 +280,38 @@
                 Vec::new()
             }
             (Some(RequestKind::Confirm(confirm)), Some(ResponseKind::Confirm(answer))) => {
-                self.confirmed(confirm, Some(answer));
+                self.confirmed(now_ms, confirm, Some(answer));
                 Vec::new()
             }
             _ => Vec::new(),
         }
     }
 
-    /// Notes that a call failed.
-    pub fn failed(&mut self, call: &Outgoing) {
+    /// Notes that a call failed, and returns the call by which the peer is tried again.
+    ///
+    /// A peer is lost after some failures in a row, unless nobody else was heard meanwhile: then
+    /// this balancer may itself be the one that is cut off.
+    pub fn failed(&mut self, now_ms: u64, call: &Outgoing) -> Vec<Outgoing> {
         if let Some(RequestKind::Confirm(confirm)) = &call.request.kind {
-            self.confirmed(confirm, None);
+            self.confirmed(now_ms, confirm, None);
+        }
+        let fresh = Failures { count: 0, since_ms: now_ms };
+        let failures = self.failures.entry(call.to).or_insert(fresh);
+        failures.count += 1;
+        let Failures { count, since_ms } = *failures;
+        if count < FAILURES_TO_LOST {
+            let is_new = count == 1 && self.is_live(call.to);
+            return if is_new || self.is_digest(call) {
+                self.try_again(call.to)
+            } else {
+                Vec::new()
+            };
         }
-        let failures = self.failures.entry(call.to).or_insert(0);
-        *failures += 1;
-        if *failures >= FAILURES_TO_LOST {
+        self.failures.swap_remove(&call.to);
+        if self.last_heard_ms.is_some_and(|heard_ms| heard_ms >= since_ms) {
             self.declare_balancer_lost(call.to);
         }
+        Vec::new()
     }
 
     /// Whether this balancer should watch the store: it is among the first `count` of its zone.
@@ -417,8 +450,24 @@
             .collect()
     }
 
+    fn is_live(&self, control: SocketAddrV4) -> bool {
+        self.records.live_balancers().any(|balancer| balancer.control == control)
+    }
+
+    fn is_digest(&self, call: &Outgoing) -> bool {
+        matches!(call.request.kind, Some(RequestKind::Digest(_))) && self.is_live(call.to)
+    }
+
+    fn try_again(&self, to: SocketAddrV4) -> Vec<Outgoing> {
+        vec![self.exchange_with(to)]
+    }
+
     fn start_exchange(&mut self, random: u64) -> Option<Outgoing> {
         let to = self.exchange_peer(random)?;
+        Some(self.exchange_with(to))
+    }
+
+    fn exchange_with(&self, to: SocketAddrV4) -> Outgoing {
         let request = wire::ControlRequest {
             kind: Some(RequestKind::Digest(wire::Digest {
                 root: self.records.digest().root(),
@@ -427,7 +476,7 @@
                 sender: Some(to_hop(self.own.control)),
             })),
         };
-        Some(Outgoing { to, request })
+        Outgoing { to, request }
     }
 
     fn exchange_peer(&self, random: u64) -> Option<SocketAddrV4> {
@@ -646,19 +695,42 @@
                 continue;
             }
             if !self.confirmations.contains_key(&target) {
-                out.extend(self.ask_other_keepers(target, incarnation));
+                out.extend(self.ask_other_keepers(now_ms, target, incarnation));
             }
         }
         out
     }
 
-    fn ask_other_keepers(&mut self, target: SocketAddrV4, incarnation: u64) -> Vec<Outgoing> {
+    /// Whether this balancer may judge without another keeper's word. One that hears nobody is cut
+    /// off itself; one that believes most others lost probably is, and waits longer.
+    fn is_well_connected(&self, now_ms: u64) -> bool {
+        let heard_ms = self.last_heard_ms.unwrap_or(0);
+        if now_ms.saturating_sub(heard_ms) >= SILENCE_MS {
+            return false;
+        }
+        let known = self.records.iter().filter(|record| match record {
+            Record::Balancer(balancer) => !balancer.gone,
+            _ => false,
+        });
+        let is_majority = self.records.live_balancers().count() * 2 > known.count();
+        let contact_ms = self.last_contact_ms.unwrap_or(0);
+        is_majority || now_ms.saturating_sub(contact_ms) >= MINORITY_SILENCE_MS
+    }
+
+    fn ask_other_keepers(
+        &mut self,
+        now_ms: u64,
+        target: SocketAddrV4,
+        incarnation: u64,
+    ) -> Vec<Outgoing> {
         let service = self.records.target(target).map(|record| record.service.clone());
         let keepers = self.keepers_of(&service.unwrap_or_default(), target);
         let others: Vec<SocketAddrV4> =
             keepers.into_iter().filter(|keeper| *keeper != self.own.control).collect();
         if others.is_empty() {
-            self.declare_target_lost(target, incarnation);
+            if self.is_well_connected(now_ms) {
+                self.declare_target_lost(target, incarnation);
+            }
             return Vec::new();
         }
         let confirmation =
@@ -669,7 +741,12 @@
         others.into_iter().map(|to| Outgoing { to, request: request.clone() }).collect()
     }
 
-    fn confirmed(&mut self, confirm: &wire::Confirm, answer: Option<&wire::ConfirmAnswer>) {
+    fn confirmed(
+        &mut self,
+        now_ms: u64,
+        confirm: &wire::Confirm,
+        answer: Option<&wire::ConfirmAnswer>,
+    ) {
         let Some(target) = confirm.data.as_ref().and_then(from_hop) else {
             return;
         };
@@ -688,8 +765,7 @@
         }
         let Confirmation { incarnation, silent, .. } = *confirmation;
         self.confirmations.swap_remove(&target);
-        // Without one answer this balancer may itself be the one that is cut off.
-        if silent > 0 {
+        if silent > 0 || self.is_well_connected(now_ms) {
             self.declare_target_lost(target, incarnation);
         }
     }
@@ -708,7 +784,6 @@
     }
 
     fn declare_balancer_lost(&mut self, control: SocketAddrV4) {
-        self.failures.swap_remove(&control);
         let held = self.records.get(&RecordKey::Balancer(control));
         let Some(Record::Balancer(held)) = held else {
             return;
--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -97,6 +97,13 @@
     Starting,
 }
 
+impl Phase {
+    /// Whether new flows may go to a target in this phase.
+    pub fn takes_new_flows(self) -> bool {
+        matches!(self, Phase::Serving | Phase::Cold)
+    }
+}
+
 /// A target, as its agent announces it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetRecord {
--- a/src/version/records.rs
+++ b/src/version/records.rs
@@ -12,7 +12,6 @@
 use crate::version::hash::hash64;
 use crate::version::record::BalancerRecord;
 use crate::version::record::Order;
-use crate::version::record::Phase;
 use crate::version::record::Record;
 use crate::version::record::RecordKey;
 use crate::version::record::ServiceRecord;
@@ -207,5 +206,5 @@
 
 /// Whether a target may be chosen for new flows, its zone aside.
 pub fn takes_new_flows(target: &TargetRecord) -> bool {
-    !target.lost && matches!(target.phase, Phase::Serving | Phase::Cold)
+    !target.lost && target.phase.takes_new_flows()
 }
--- a/src/version/table.rs
+++ b/src/version/table.rs
@@ -122,18 +122,40 @@
             table.services.insert(service.address, ServiceEntry::new(service.number));
             names.insert(service.name.as_str(), service);
         }
-        for target in records.targets().filter(|target| takes_new_flows(target)) {
-            let Some(service) = names.get(target.service.as_str()) else {
-                continue;
-            };
-            let zone_fits = service.zones.is_empty() || service.zones.contains(&target.zone);
-            if zone_fits && !records.is_zone_out(&target.zone) {
-                table.services[&service.address].targets.push(target_entry(target));
+        let fits = |target: &&TargetRecord| {
+            let zones = names.get(target.service.as_str()).map(|service| &service.zones);
+            zones.is_some_and(|zones| zones.is_empty() || zones.contains(&target.zone))
+                && !records.is_zone_out(&target.zone)
+        };
+        let mut lost = Vec::new();
+        for target in records.targets().filter(fits) {
+            let address = names[target.service.as_str()].address;
+            if takes_new_flows(target) {
+                table.services[&address].targets.push(target_entry(target));
+            } else if target.lost && target.phase.takes_new_flows() {
+                lost.push((address, target_entry(target)));
             }
         }
+        table.use_lost_where_none_lives(lost);
         table
     }
 
+    /// A service all of whose targets are believed lost tries them all the same: the belief may be
+    /// wrong, and a dropped opening helps nobody.
+    fn use_lost_where_none_lives(&mut self, lost: Vec<(SocketAddr, TargetEntry)>) {
+        let none_lives: Vec<SocketAddr> = self
+            .services
+            .iter()
+            .filter(|(_, service)| service.targets.is_empty())
+            .map(|(address, _)| *address)
+            .collect();
+        for (address, target) in lost {
+            if none_lives.contains(&address) {
+                self.services[&address].targets.push(target);
+            }
+        }
+    }
+
     /// Decides on one datagram from `source` to the service address `destination`.
     pub fn route(
         &self,
--- a/standins/src/spread.rs
+++ b/standins/src/spread.rs
@@ -33,6 +33,9 @@
 /// Bytes of QUIC, UDP and acknowledgements on top of each message.
 pub const MESSAGE_OVERHEAD_BYTES: u64 = 90;
 
+/// Number from which on a node of [`Cut`] is an agent.
+pub const FIRST_AGENT: usize = 1_000_000;
+
 /// Which nodes cannot reach each other.
 pub type Cut = Box<dyn Fn(usize, usize) -> bool>;
 
@@ -239,7 +242,10 @@
                 let calls = self.peers[to].answered(self.now_ms, &call, &response);
                 self.send_all(to, calls);
             }
-            Event::Fail { to, call } => self.peers[to].failed(&call),
+            Event::Fail { to, call } => {
+                let calls = self.peers[to].failed(self.now_ms, &call);
+                self.send_all(to, calls);
+            }
         }
     }
 
@@ -295,7 +301,7 @@
         let mut any = false;
         for peer in peers {
             let to = index_of(peer);
-            if !self.running[to] {
+            if !self.running[to] || (self.cut)(FIRST_AGENT + index, to) {
                 continue;
             }
             let response = self.answer(to, &request);
--- a/tests/failures_spread.rs
+++ b/tests/failures_spread.rs
@@ -5,6 +5,7 @@
 use rhubarbthread::process::configuration::zone_key;
 use rhubarbthread::version::record::Record;
 use rhubarbthread::version::record::ZoneRecord;
+use rhubarbthread_standins::spread::FIRST_AGENT;
 use rhubarbthread_standins::spread::Spread;
 
 /// Time in which an accepted configuration is in force everywhere, in milliseconds.
@@ -52,9 +53,12 @@
 
 /// One balancer is cut off from all others: it keeps what it knew, forwards by it, and is told the
 /// change once it is reached again. Nobody else is harmed.
-fn one_cut_off(seed: u64) {
+fn one_cut_off(seed: u64, agents_reach_it: bool) {
     let mut spread = started(12, 24, seed);
-    spread.cut = Box::new(|from, to| from == 5 || to == 5);
+    spread.cut = Box::new(move |from, to| {
+        let is_agent = from >= FIRST_AGENT;
+        (from == 5 || to == 5) && !(is_agent && agents_reach_it)
+    });
     spread.peers[0].read_from_store(&[zone(2, true)], true);
     let others_have = |spread: &Spread| {
         let revision = |index: usize| spread.peers[index].records().configuration_revision();
@@ -75,7 +79,9 @@
 /// Two regions lose each other for minutes; each goes on, and they find each other again.
 fn regions_apart(seed: u64) {
     let mut spread = started(16, 32, seed);
-    spread.cut = Box::new(|from, to| (from < 8) != (to < 8));
+    // Agents with an even number are in the first region.
+    let is_first = |node: usize| if node >= FIRST_AGENT { node % 2 == 0 } else { node < 8 };
+    spread.cut = Box::new(move |from, to| is_first(from) != is_first(to));
     spread.run(180_000, |_| false);
     assert!(lost_balancers(&spread) > 0, "each region takes the other for lost");
     spread.peers[0].read_from_store(&[zone(2, true)], true);
@@ -135,7 +141,8 @@
 }
 
 cases! {
-    balancer_cut_off: for_seeds(one_cut_off);
+    balancer_cut_off: for_seeds(|seed| one_cut_off(seed, false));
+    balancer_cut_off_from_balancers_only: for_seeds(|seed| one_cut_off(seed, true));
     regions_apart_for_minutes: for_seeds(regions_apart);
     dead_targets_are_found: for_seeds(dead_targets);
     keepers_and_targets_die_together: for_seeds(keepers_die_too);
