--- a/src/process/forwarder.rs
+++ b/src/process/forwarder.rs
@@ -97,22 +97,25 @@
     fn run(&self, socket: &UdpSocket) {
         let mut batch = Batch::new();
         while !self.stop.load(Ordering::Relaxed) {
-            match batch.receive(socket) {
-                Ok(0) => {}
-                Ok(received) => {
-                    self.received.fetch_add(received as u64, Ordering::Relaxed);
-                    let table = Arc::clone(&self.table.read().expect("lock is not poisoned"));
-                    self.route(&table, &mut batch, received);
-                    batch.send(socket);
-                }
-                Err(error) => {
-                    log_event!(Event::ForwardFailed, "{error}");
-                    thread::sleep(RECEIVE_TIMEOUT);
-                }
+            if let Err(error) = self.forward_batch(&mut batch, socket) {
+                log_event!(Event::ForwardFailed, "{error}");
+                thread::sleep(RECEIVE_TIMEOUT);
             }
         }
     }
 
+    /// Receives one batch and sends it on; returns the number of datagrams received.
+    pub fn forward_batch(&self, batch: &mut Batch, socket: &UdpSocket) -> io::Result<usize> {
+        let received = batch.receive(socket)?;
+        if received > 0 {
+            self.received.fetch_add(received as u64, Ordering::Relaxed);
+            let table = Arc::clone(&self.table.read().expect("lock is not poisoned"));
+            self.route(&table, batch, received);
+            batch.send(socket);
+        }
+        Ok(received)
+    }
+
     fn route(&self, table: &Table, batch: &mut Batch, received: usize) {
         let mut established = 0;
         let mut openings = 0;
--- /dev/null
+++ b/standins/src/baseline.rs
@@ -0,0 +1,139 @@
+//! Baseline balancers for measurements: plain hashing over the live targets without tags, and
+//! weighted rendezvous without a chain.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rhubarbthread::connection::datagram;
+use rhubarbthread::connection::datagram::Head;
+use rhubarbthread::connection::envelope;
+use rhubarbthread::connection::tag::TagKeys;
+use rhubarbthread::version::hash::hash64;
+use rhubarbthread::version::rendezvous;
+use rhubarbthread::version::rendezvous::Candidate;
+use rhubarbthread::version::table::flow_hash;
+use serde_json::Value;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// Time between two looks at the live targets.
+const REFRESH: Duration = Duration::from_millis(100);
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 4_096;
+
+/// What a baseline balancer does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Baseline {
+    /// Every datagram by a hash of the caller's address over the live targets.
+    PlainHash,
+    /// Tags for established flows, the best target by rendezvous for new ones, no chain.
+    NoChain,
+}
+
+/// A running baseline balancer.
+pub struct BaselineBalancer {
+    kind: Baseline,
+    socket: UdpSocket,
+    services: IndexMap<String, SocketAddr>,
+    targets: Mutex<IndexMap<SocketAddr, Vec<(SocketAddrV4, String)>>>,
+    tag_keys: TagKeys,
+}
+
+impl BaselineBalancer {
+    /// Opens the socket and follows the live targets that a real balancer knows.
+    pub async fn start(
+        kind: Baseline,
+        listen: SocketAddrV4,
+        source_admin: SocketAddrV4,
+        services: IndexMap<String, SocketAddr>,
+        tag_keys: TagKeys,
+    ) -> io::Result<Arc<BaselineBalancer>> {
+        let socket = UdpSocket::bind(listen).await?;
+        let targets = Mutex::default();
+        let balancer = Arc::new(BaselineBalancer { kind, socket, services, targets, tag_keys });
+        tokio::spawn(Arc::clone(&balancer).follow(source_admin));
+        tokio::spawn(Arc::clone(&balancer).forward());
+        Ok(balancer)
+    }
+
+    async fn follow(self: Arc<Self>, admin: SocketAddrV4) {
+        let client = reqwest::Client::new();
+        loop {
+            if let Ok(answer) = client.get(format!("http://{admin}/status")).send().await
+                && let Ok(status) = answer.json().await
+            {
+                let targets = self.live_targets(&status);
+                *self.targets.lock().expect("lock is not poisoned") = targets;
+            }
+            sleep(REFRESH).await;
+        }
+    }
+
+    fn live_targets(&self, status: &Value) -> IndexMap<SocketAddr, Vec<(SocketAddrV4, String)>> {
+        let mut live: IndexMap<SocketAddr, Vec<(SocketAddrV4, String)>> = IndexMap::new();
+        for target in status["targets"].as_array().into_iter().flatten() {
+            let phase = target["phase"].as_str().unwrap_or_default();
+            let takes = target["lost"] == false && (phase == "serving" || phase == "cold");
+            let text = |key: &str| target[key].as_str().unwrap_or_default();
+            let service = self.services.get(text("service"));
+            if let (true, Some(service), Ok(agent)) = (takes, service, text("agent").parse()) {
+                let zone = text("availability_zone").to_owned();
+                live.entry(*service).or_default().push((agent, zone));
+            }
+        }
+        live.values_mut().for_each(|targets| targets.sort());
+        live
+    }
+
+    async fn forward(self: Arc<Self>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        let mut bytes = Vec::new();
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Ok((route, payload)) = envelope::decode(&buffer[..length]) else {
+                continue;
+            };
+            let Some(agent) = self.choose(route.source, route.destination, payload) else {
+                continue;
+            };
+            envelope::encode(&route.with_chain(vec![agent]), payload, &mut bytes);
+            // What the socket does not take is lost, as on any hop.
+            let _ = self.socket.send_to(&bytes, agent).await;
+        }
+    }
+
+    fn choose(
+        &self,
+        source: SocketAddr,
+        destination: SocketAddr,
+        payload: &[u8],
+    ) -> Option<SocketAddrV4> {
+        let targets = self.targets.lock().expect("lock is not poisoned");
+        let targets = targets.get(&destination).filter(|targets| !targets.is_empty())?;
+        if self.kind == Baseline::PlainHash {
+            let hash = hash64(source.to_string().as_bytes()) as usize;
+            return Some(targets[hash % targets.len()].0);
+        }
+        let (Head::Long { connection_id } | Head::Short { connection_id }) =
+            datagram::parse_head(payload).ok()?;
+        if let Some(tag) = self.tag_keys.open(connection_id) {
+            return Some(tag.agent);
+        }
+        let candidate = |(agent, zone): &(SocketAddrV4, String)| {
+            (hash64(agent.to_string().as_bytes()), zone.clone())
+        };
+        let ids: Vec<(u64, String)> = targets.iter().map(candidate).collect();
+        let candidates: Vec<Candidate<'_>> =
+            ids.iter().map(|(id, zone)| Candidate { id: *id, weight: 1, zone }).collect();
+        let best = rendezvous::choose(flow_hash(source, connection_id), &candidates, 1);
+        best.first().map(|index| targets[*index].0)
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,7 +1,9 @@
 //! Small stand-ins for what surrounds rhubarbthread, for tests, demonstrations and measurements.
 
+pub mod baseline;
 pub mod fabric;
 pub mod load;
+pub mod measure;
 pub mod spread;
 pub mod store;
 pub mod system;
--- /dev/null
+++ b/standins/src/measure/broken_flows.rs
@@ -0,0 +1,103 @@
+//! Broken flows: 2,000 long streams while balancers and targets change.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::baseline::Baseline;
+use crate::load::Load;
+use crate::load::LoadReport;
+use crate::measure::deployment::DEPLOYMENTS;
+use crate::measure::deployment::Deployment;
+use crate::measure::report::Report;
+use crate::system::Programs;
+use crate::system::System;
+
+const STREAMS: usize = 2_000;
+const CHUNKS: u64 = 30;
+const CHUNK_MS: u64 = 1_000;
+
+/// Time for all streams to begin.
+const RAMP: Duration = Duration::from_secs(6);
+
+/// Time between two changes.
+const BETWEEN: Duration = Duration::from_secs(3);
+
+/// Runs all seeds of both deployments.
+pub async fn run(programs: &Programs, seeds: u64, report: &mut Report) {
+    for (index, deployment) in DEPLOYMENTS.iter().enumerate() {
+        for seed in 1..=seeds {
+            let subnet = 100 + index as u8 * 40 + seed as u8;
+            let ours = run_one(programs, deployment, subnet, seed, None).await;
+            let baseline =
+                run_one(programs, deployment, subnet + 20, seed, Some(Baseline::PlainHash)).await;
+            report.add(json!({
+                "measure": "broken-flows",
+                "deployment": deployment.name,
+                "seed": seed,
+                "streams": STREAMS,
+                "whole": ours.whole,
+                "broken": ours.requests - ours.whole,
+                "reasons": ours.reasons,
+                "baseline_plain_hash_whole": baseline.whole,
+                "baseline_plain_hash_broken": baseline.requests - baseline.whole,
+                "target": 0,
+            }));
+        }
+    }
+}
+
+async fn run_one(
+    programs: &Programs,
+    deployment: &Deployment,
+    subnet: u8,
+    seed: u64,
+    baseline: Option<Baseline>,
+) -> LoadReport {
+    let (mut system, folder) = deployment.start(programs, subnet, seed).await;
+    if let Some(kind) = baseline {
+        system.use_baseline(kind).await;
+    }
+    let mut plan = system.load_plan();
+    plan.callers = 0;
+    plan.streams = STREAMS;
+    plan.stream_chunks = CHUNKS;
+    plan.stream_ms = CHUNK_MS;
+    plan.pause_ms = 4_000;
+    plan.deadline = Duration::from_secs(15);
+    let load = Load::new(plan);
+    let running = tokio::spawn({
+        let load = Arc::clone(&load);
+        async move { load.run().await }
+    });
+    sleep(RAMP).await;
+    change_all(&mut system).await;
+    let report = running.await.expect("the load runs to its end");
+    drop(system);
+    // The folder holds only logs and generated files.
+    let _ = std::fs::remove_dir_all(folder);
+    report
+}
+
+/// A balancer dies, a target leaves, a balancer stops as planned, a target joins, all within the
+/// streams.
+async fn change_all(system: &mut System) {
+    system.balancers[0].take().expect("it runs").kill();
+    let leaving = Arc::clone(system.target(0));
+    tokio::spawn(async move { leaving.leave().await });
+    sleep(BETWEEN).await;
+    system.start_balancer(0);
+    system.balancers[1].as_ref().expect("it runs").signal(Signal::SIGTERM);
+    let last = system.places.len() - 1;
+    let leaving = Arc::clone(system.target(last));
+    tokio::spawn(async move { leaving.leave().await });
+    sleep(BETWEEN).await;
+    system.start_balancer(1);
+    sleep(BETWEEN).await;
+    system.balancers[2].take().expect("it runs").kill();
+    sleep(BETWEEN).await;
+    system.start_balancer(2);
+}
--- /dev/null
+++ b/standins/src/measure/control.rs
@@ -0,0 +1,267 @@
+//! Cost of control: real daemons at a few sizes, and the project's own spreading of records by an
+//! event loop at the size to come.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rhubarbthread::version::record::Record;
+use rhubarbthread::version::record::ServiceRecord;
+use rhubarbthread::version::record::ZoneRecord;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::measure::process_stats;
+use crate::measure::report::Report;
+use crate::spread::Spread;
+use crate::system::Programs;
+use crate::system::ServicePlan;
+use crate::system::System;
+use crate::system::SystemPlan;
+
+/// Sizes with real daemons: so many balancers and as many agents.
+const DAEMONS: [usize; 3] = [3, 10, 30];
+
+/// Sizes of the event loop: balancers, agents, services.
+const SIZES: [(usize, usize, usize); 4] =
+    [(50, 250, 38), (170, 860, 130), (340, 1_720, 258), (670, 3_400, 510)];
+
+const ZONES: usize = 7;
+const SETTLE: Duration = Duration::from_secs(8);
+const IDLE: Duration = Duration::from_secs(20);
+const SUBNET: u8 = 251;
+
+/// Time that the event loop may take to settle, and that traffic is counted over, in milliseconds.
+const SETTLE_MS: u64 = 180_000;
+const COUNT_MS: u64 = 60_000;
+
+/// Changes of configuration that are timed.
+const CHANGES: u64 = 20;
+
+/// A minute of the day's churn: 2,300 changes, and 492 restarts, each with a leave and a join.
+const CHURN_MS: u64 = 60_000;
+const CHURN_CHANGES: u64 = 2;
+const CHURN_RESTARTS: usize = 1;
+
+/// Runs all sizes.
+pub async fn run(programs: &Programs, report: &mut Report) {
+    for (index, nodes) in DAEMONS.iter().enumerate() {
+        run_daemons(programs, *nodes, SUBNET + index as u8, report).await;
+    }
+    for (balancers, agents, services) in SIZES {
+        run_loop(balancers, agents, services, report);
+    }
+}
+
+async fn run_daemons(programs: &Programs, nodes: usize, subnet: u8, report: &mut Report) {
+    let folder =
+        std::env::temp_dir().join(format!("rhubarbthread-control-{}-{nodes}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the temporary folder is writable");
+    let services = vec![ServicePlan::new("vypocet", nodes, 9)];
+    let mut plan = SystemPlan::new(subnet).with_services(services);
+    plan.balancers = nodes;
+    let start = Instant::now();
+    let system = System::start(plan, programs.clone(), &folder).await;
+    let ready_ms = start.elapsed().as_millis();
+    sleep(SETTLE).await;
+    let before = sample(&system).await;
+    sleep(IDLE).await;
+    let after = sample(&system).await;
+    let per_node =
+        |index: usize| (after[index] - before[index]) / nodes as f64 / IDLE.as_secs_f64();
+    let revision = newest_revision(&system).await;
+    let change = Instant::now();
+    system.set_zone("olomouc-b", true);
+    let in_force = in_force_ms(&system, revision + 1, change).await;
+    let calls = system.store.calls();
+    report.add(json!({
+        "measure": "control-daemons",
+        "balancers": nodes,
+        "agents": nodes,
+        "ready_ms": ready_ms,
+        "balancer_sent_bytes_per_s": per_node(0).round(),
+        "balancer_received_bytes_per_s": per_node(1).round(),
+        "balancer_cpu_percent": (per_node(2) * 10_000.0).round() / 100.0,
+        "agent_cpu_percent": (per_node(3) * 10_000.0).round() / 100.0,
+        "balancer_rss_kb": after[4] / nodes as f64,
+        "agent_rss_kb": after[5] / nodes as f64,
+        "change_in_force_everywhere_ms": in_force,
+        "store_calls": calls,
+    }));
+    drop(system);
+    // The folder holds only logs and generated files.
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// Sums over nodes: bytes sent, received, processor seconds of balancers and agents, memory of both.
+async fn sample(system: &System) -> [f64; 6] {
+    let mut sums = [0.0; 6];
+    for (index, balancer) in system.balancers.iter().enumerate() {
+        let status = system.status(system.balancer_admin(index)).await.unwrap_or_default();
+        sums[0] += status["control_sent_bytes"].as_f64().unwrap_or(0.0);
+        sums[1] += status["control_received_bytes"].as_f64().unwrap_or(0.0);
+        let pid = balancer.as_ref().expect("it runs").id();
+        sums[2] += process_stats::cpu_s(pid);
+        sums[4] += process_stats::rss_kb(pid) as f64;
+    }
+    for place in &system.places {
+        let pid = place.agent.as_ref().expect("it runs").id();
+        sums[3] += process_stats::cpu_s(pid);
+        sums[5] += process_stats::rss_kb(pid) as f64;
+    }
+    sums
+}
+
+async fn newest_revision(system: &System) -> u64 {
+    let status = system.status(system.balancer_admin(0)).await.unwrap_or_default();
+    status["configuration_revision"].as_u64().unwrap_or(0)
+}
+
+async fn in_force_ms(system: &System, revision: u64, change: Instant) -> u128 {
+    let has_it = async |system: &System| {
+        for index in 0..system.balancers.len() {
+            let status = system.status(system.balancer_admin(index)).await.unwrap_or_default();
+            if status["configuration_revision"].as_u64() < Some(revision) {
+                return false;
+            }
+        }
+        true
+    };
+    system.wait_for("the change is in force", Duration::from_secs(30), has_it).await;
+    change.elapsed().as_millis()
+}
+
+fn run_loop(balancers: usize, agents: usize, services: usize, report: &mut Report) {
+    let mut spread = Spread::new(balancers, agents, services, ZONES, 1);
+    let configuration: Vec<Record> = (0..services).map(|index| service(index, 1)).collect();
+    spread.peers[0].read_from_store(&configuration, true);
+    let expected = balancers + agents + services;
+    let knows_all = move |spread: &Spread| {
+        spread.peers.iter().all(|peer| peer.records().len() == expected && peer.is_configured())
+    };
+    let settled_ms = spread.run(SETTLE_MS, knows_all);
+    spread.run(10_000, |_| false);
+    let idle = count(&mut spread, COUNT_MS, balancers);
+    let times = time_changes(&mut spread);
+    let (churn, _) = count_churn(&mut spread, balancers);
+    let (ready_ms, ready_bytes) = time_newcomer(&mut spread, expected);
+    let dead_ms = time_dead(&mut spread);
+    report.add(json!({
+        "measure": "control-loop",
+        "balancers": balancers,
+        "agents": agents,
+        "services": services,
+        "settled_ms": settled_ms,
+        "idle_sent_bytes_per_s": idle.0,
+        "idle_received_bytes_per_s": idle.1,
+        "idle_sent_messages_per_s": idle.2,
+        "idle_worst_sent_bytes_per_s": idle.3,
+        "idle_cpu_percent_of_a_core": idle.4,
+        "churn_sent_bytes_per_s": churn,
+        "change_last_node_ms_median": times[times.len() / 2],
+        "change_last_node_ms_worst": times[times.len() - 1],
+        "dead_target_last_node_ms": dead_ms,
+        "newcomer_ready_ms": ready_ms,
+        "newcomer_received_bytes": ready_bytes,
+    }));
+}
+
+fn service(index: usize, revision: u64) -> Record {
+    Record::Service(ServiceRecord {
+        revision,
+        name: format!("service-{index}"),
+        removed: false,
+        number: index as u16,
+        address: std::net::SocketAddr::from((
+            [10, 0, (index / 250) as u8, (index % 250) as u8],
+            443,
+        )),
+        first_limit: 2,
+        growth_answers: 10,
+        request_deadline_ms: 30_000,
+        retry_budget_percent: 10,
+        zones: Vec::new(),
+        stream_paths: vec!["/stream".to_owned()],
+    })
+}
+
+/// Bytes sent and received and messages sent a second and node, the worst node's bytes sent, and
+/// processor time of a node in percent of a core.
+fn count(spread: &mut Spread, duration_ms: u64, balancers: usize) -> (f64, f64, f64, f64, f64) {
+    spread.reset_traffic();
+    let start = Instant::now();
+    spread.run(duration_ms, |_| false);
+    let cpu = start.elapsed().as_secs_f64();
+    let seconds = duration_ms as f64 / 1000.0;
+    let sum = |value: fn(&crate::spread::NodeTraffic) -> u64| {
+        spread.traffic.iter().map(value).sum::<u64>() as f64 / balancers as f64 / seconds
+    };
+    let worst = spread.traffic.iter().map(|traffic| traffic.sent_bytes).max().unwrap_or(0);
+    (
+        sum(|traffic| traffic.sent_bytes).round(),
+        sum(|traffic| traffic.received_bytes).round(),
+        (sum(|traffic| traffic.sent_messages) * 10.0).round() / 10.0,
+        (worst as f64 / seconds).round(),
+        (cpu / balancers as f64 / seconds * 100_000.0).round() / 1000.0,
+    )
+}
+
+/// Times until each of some changes has reached the last balancer, sorted, in milliseconds.
+fn time_changes(spread: &mut Spread) -> Vec<u64> {
+    let mut times = Vec::new();
+    for change in 0..CHANGES {
+        let revision = 10 + change;
+        let name = "zone-1".to_owned();
+        let record = Record::Zone(ZoneRecord { revision, name, out: change % 2 == 0 });
+        let reader = (change as usize * 7) % spread.peers.len();
+        spread.peers[reader].read_from_store(&[record], true);
+        let all_have = |spread: &Spread| {
+            let revision_of =
+                |peer: &rhubarbthread::version::peer::Peer| peer.records().configuration_revision();
+            spread.peers.iter().all(|peer| revision_of(peer) >= revision)
+        };
+        times.push(spread.run(60_000, all_have));
+    }
+    times.sort_unstable();
+    times
+}
+
+/// Bytes sent a second and node under a minute of the day's churn.
+fn count_churn(spread: &mut Spread, balancers: usize) -> (f64, u64) {
+    spread.reset_traffic();
+    for change in 0..CHURN_CHANGES {
+        spread.peers[3].read_from_store(&[service(change as usize, 100 + change)], true);
+    }
+    for agent in 0..CHURN_RESTARTS {
+        spread.agents[agent].record.incarnation += 1;
+    }
+    spread.replace(balancers / 2, ZONES);
+    let took = spread.run(CHURN_MS, |_| false);
+    let sent: u64 = spread.traffic.iter().map(|traffic| traffic.sent_bytes).sum();
+    ((sent as f64 / balancers as f64 / (CHURN_MS as f64 / 1000.0)).round(), took)
+}
+
+/// Time and bytes until a replaced balancer knows everything.
+fn time_newcomer(spread: &mut Spread, expected: usize) -> (u64, u64) {
+    let index = spread.peers.len() - 1;
+    spread.replace(index, ZONES);
+    spread.traffic[index] = Default::default();
+    let knows = move |spread: &Spread| {
+        let peer = &spread.peers[index];
+        peer.is_configured() && peer.records().len() > expected
+    };
+    let took = spread.run(60_000, knows);
+    (took, spread.traffic[index].received_bytes)
+}
+
+/// Time until the last balancer knows that a target is dead.
+fn time_dead(spread: &mut Spread) -> u64 {
+    spread.agents[5].alive = false;
+    let data = spread.agents[5].record.data;
+    let all_know = move |spread: &Spread| {
+        let is_lost = |peer: &rhubarbthread::version::peer::Peer| {
+            peer.records().target(data).is_some_and(|target| target.lost)
+        };
+        spread.peers.iter().all(is_lost)
+    };
+    spread.run(60_000, all_know)
+}
--- /dev/null
+++ b/standins/src/measure/report.rs
@@ -0,0 +1,93 @@
+//! Result lines, and a report with plots.
+
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde_json::Value;
+
+const PLOT_SIZE: (u32, u32) = (800, 360);
+
+/// A line of a plot.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// Name.
+    pub name: String,
+    /// Points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// A plot.
+#[derive(Clone, Debug)]
+pub struct Plot {
+    /// File name without ending, and title.
+    pub name: String,
+    /// Lines.
+    pub series: Vec<Series>,
+}
+
+/// Results of a run of measurements.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    lines: Vec<Value>,
+    plots: Vec<Plot>,
+}
+
+impl Report {
+    /// Creates an empty report.
+    pub fn new() -> Report {
+        Report::default()
+    }
+
+    /// Adds a result and prints it.
+    pub fn add(&mut self, line: Value) {
+        println!("{line}");
+        self.lines.push(line);
+    }
+
+    /// Adds a plot.
+    pub fn plot(&mut self, plot: Plot) {
+        self.plots.push(plot);
+    }
+
+    /// Writes Markdown to `path`, and the plots beside it as SVG.
+    pub fn write(&self, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+        let folder = path.parent().unwrap_or(Path::new("."));
+        fs::create_dir_all(folder)?;
+        let mut text = String::from("# Measurements\n\n");
+        for plot in &self.plots {
+            let file = format!("{}.svg", plot.name);
+            draw(plot, &folder.join(&file))?;
+            writeln!(text, "![{}]({file})\n", plot.name)?;
+        }
+        text += "```json\n";
+        for line in &self.lines {
+            writeln!(text, "{line}")?;
+        }
+        text += "```\n";
+        fs::write(path, text)?;
+        Ok(())
+    }
+}
+
+fn draw(plot: &Plot, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let points = || plot.series.iter().flat_map(|series| series.points.iter());
+    let max_x = points().map(|(x, _)| *x).fold(1.0, f64::max);
+    let max_y = points().map(|(_, y)| *y).fold(1.0, f64::max) * 1.05;
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..max_x, 0.0..max_y)?;
+    chart.configure_mesh().draw()?;
+    for (index, series) in plot.series.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let line = LineSeries::new(series.points.iter().copied(), color);
+        chart.draw_series(line)?;
+    }
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/measure/zone.rs
@@ -0,0 +1,165 @@
+//! Service while an availability zone leaves and returns.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::load::Load;
+use crate::measure::deployment::DEPLOYMENTS;
+use crate::measure::deployment::Deployment;
+use crate::measure::report::Plot;
+use crate::measure::report::Report;
+use crate::measure::report::Series;
+use crate::system::Programs;
+use crate::system::System;
+
+const CALLERS_PER_SLOT: f64 = 1.2;
+const WORK_MS: u64 = 40;
+const PAUSE_MS: u64 = 150;
+const FLOW_REQUESTS: usize = 5;
+
+/// Time before the zone leaves, while it is out, and after its return.
+const BEFORE: Duration = Duration::from_secs(8);
+const OUT: Duration = Duration::from_secs(8);
+const AFTER: Duration = Duration::from_secs(14);
+
+/// Time between two looks at the agents of the zone.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Answers that count as service being back, against before.
+const BACK: f64 = 0.99;
+
+/// Slots of 100 ms over which the goodput is averaged.
+const WINDOW: usize = 10;
+
+/// Runs all seeds of both deployments.
+pub async fn run(programs: &Programs, seeds: u64, report: &mut Report) {
+    for (index, deployment) in DEPLOYMENTS.iter().enumerate() {
+        for seed in 1..=seeds {
+            let subnet = 220 + index as u8 * 10 + seed as u8;
+            let (line, answers) = run_one(programs, deployment, subnet, seed).await;
+            report.add(line);
+            let points = answers.iter().enumerate();
+            let points = points.map(|(slot, count)| (slot as f64 / 10.0, *count as f64));
+            report.plot(Plot {
+                name: format!("zone-{}-{seed}", deployment.name),
+                series: vec![Series { name: "answers".to_owned(), points: points.collect() }],
+            });
+        }
+    }
+}
+
+async fn run_one(
+    programs: &Programs,
+    deployment: &Deployment,
+    subnet: u8,
+    seed: u64,
+) -> (Value, Vec<u64>) {
+    let (mut system, folder) = deployment.start(programs, subnet, seed).await;
+    let slots: u32 = system.places.iter().map(|place| place.service.slots).sum();
+    let mut plan = system.load_plan();
+    plan.streams = 0;
+    plan.callers = (f64::from(slots) * CALLERS_PER_SLOT) as usize;
+    plan.requests = 100_000;
+    plan.flow_requests = FLOW_REQUESTS;
+    plan.work_ms = WORK_MS;
+    plan.pause_ms = PAUSE_MS;
+    plan.once_percent = 20;
+    let load = Load::new(plan);
+    let start = Instant::now();
+    let running = tokio::spawn({
+        let load = Arc::clone(&load);
+        async move { load.run().await }
+    });
+    sleep(BEFORE).await;
+    let zone = deployment.zones[deployment.zones.len() - 1];
+    let in_zone: Vec<usize> =
+        (0..system.places.len()).filter(|place| system.places[*place].zone == zone).collect();
+    let before = load.report();
+    let out_at = Instant::now();
+    system.set_zone(zone, true);
+    let last_packet = last_packet_ms(&system, &in_zone, out_at).await;
+    // The targets of the zone are replaced and cold when it comes back.
+    for place in &in_zone {
+        system.target(*place).crash().await;
+        system.start_target(*place, false).await;
+    }
+    sleep(OUT.saturating_sub(out_at.elapsed())).await;
+    let in_at = Instant::now();
+    system.set_zone(zone, false);
+    sleep(AFTER).await;
+    let after = load.report();
+    running.abort();
+    let excess = in_zone.iter().map(|place| system.target(*place).stats().worst_excess).max();
+    let answers = after.answers_per_100_ms.clone();
+    let slot_of = |at: Instant| (at - start).as_millis() as usize / 100;
+    let (out_slot, in_slot) = (slot_of(out_at), slot_of(in_at));
+    let steady = mean(&answers[out_slot.saturating_sub(40)..out_slot]);
+    let lowest = lowest_window(&answers[out_slot..in_slot]);
+    let mut reasons = after.reasons.clone();
+    for (reason, count) in &before.reasons {
+        reasons.entry(reason.clone()).and_modify(|all| *all -= count);
+    }
+    let stay = 1.0 - in_zone.len() as f64 / system.places.len() as f64;
+    let line = json!({
+        "measure": "zone",
+        "deployment": deployment.name,
+        "seed": seed,
+        "callers": slots as f64 * CALLERS_PER_SLOT,
+        "last_packet_ms": last_packet,
+        "last_packet_target_ms": 3_000,
+        "answers_per_s_before": steady * 10.0,
+        "lowest_second_out_over_before": round(lowest / steady),
+        "mean_out_over_before": round(mean(&answers[out_slot..in_slot]) / steady),
+        "capacity_that_stays": round(stay),
+        "back_ms_after_out": back_ms(&answers, out_slot, steady),
+        "back_ms_after_in": back_ms(&answers, in_slot, steady),
+        "reasons": reasons,
+        "wrong": after.wrong,
+        "worst_excess_of_cold": excess,
+    });
+    drop(system);
+    // The folder holds only logs and generated files.
+    let _ = std::fs::remove_dir_all(folder);
+    (line, answers)
+}
+
+/// Time from the change to the last datagram that an agent of the zone received.
+async fn last_packet_ms(system: &System, in_zone: &[usize], out_at: Instant) -> u128 {
+    let mut last = 0;
+    let mut counts = vec![-1.0; in_zone.len()];
+    while out_at.elapsed() < OUT - LOOK {
+        for (place, count) in in_zone.iter().zip(counts.iter_mut()) {
+            let admin = system.agent_admin(*place);
+            let now = system.metric(admin, "rhubarbthread_received_total").await;
+            if now > *count {
+                *count = now;
+                last = out_at.elapsed().as_millis();
+            }
+        }
+        sleep(LOOK).await;
+    }
+    last
+}
+
+/// Time until one second's answers are back at [`BACK`] of before, from a slot on.
+fn back_ms(answers: &[u64], from: usize, steady: f64) -> Option<usize> {
+    let windows = answers[from..].windows(WINDOW);
+    windows.enumerate().find(|(_, window)| mean(window) >= BACK * steady).map(|(at, _)| at * 100)
+}
+
+fn lowest_window(answers: &[u64]) -> f64 {
+    answers.windows(WINDOW).map(mean).fold(f64::MAX, f64::min)
+}
+
+fn mean(answers: &[u64]) -> f64 {
+    answers.iter().sum::<u64>() as f64 / answers.len().max(1) as f64
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
--- a/standins/src/system.rs
+++ b/standins/src/system.rs
@@ -20,10 +20,13 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
+use rhubarbthread::process::keys::read_cluster_keys;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::baseline::Baseline;
+use crate::baseline::BaselineBalancer;
 use crate::fabric::BalancerAddress;
 use crate::fabric::Fabric;
 use crate::fabric::FabricFaults;
@@ -365,6 +368,25 @@
         balancer_address(self.plan.subnet, index).admin
     }
 
+    /// Puts a baseline balancer in the place of the real ones, which go on keeping the records.
+    pub async fn use_baseline(&self, kind: Baseline) {
+        let keys = read_cluster_keys(&self.folder.join("keys/cluster-keys.jsonc"));
+        let keys = keys.expect("the keys were made at the start").tag_keys;
+        let names = self.plan.services.iter().map(|service| service.name.clone());
+        let services = names.enumerate().map(|(index, name)| (name, self.service(index)));
+        let mut balancers = Vec::new();
+        for index in 0..self.plan.balancers {
+            let listen = address(self.plan.subnet, 4, index as u8 + 1, 7000);
+            let admin = self.balancer_admin(index);
+            BaselineBalancer::start(kind, listen, admin, services.clone().collect(), keys.clone())
+                .await
+                .expect("the baseline's address is free");
+            balancers.push(BalancerAddress { data: listen, admin });
+        }
+        self.fabric.set_balancers(&balancers);
+        sleep(Duration::from_secs(1)).await;
+    }
+
     /// Runs the operators' tool; returns exit code and output.
     pub fn operate(&self, arguments: &[&str]) -> (i32, String) {
         let output = Command::new(&self.programs.operator)
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -130,6 +130,11 @@
         Ok(target)
     }
 
+    /// Set-up of this target.
+    pub fn plan(&self) -> &TargetPlan {
+        &self.plan
+    }
+
     /// Counts so far.
     pub fn stats(&self) -> TargetStats {
         self.lock().stats.clone()
