--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -565,6 +565,8 @@
     let trace = Trace::new(settings.trace_path.as_deref())?;
     let reset_key = keys.reset_key;
     let shared = AgentShared::new(settings, keys, trace);
+    // A trace begins with the incarnation, so that it can be replayed from nothing.
+    shared.apply(&Input::Incarnation { incarnation: shared.incarnation() });
 
     let address = SocketAddr::V4(shared.data_address());
     let socket = UdpSocket::bind(address).await.context(SocketSnafu { address })?;
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -160,7 +160,7 @@
         let is_long = {
             let mut traffic = self.traffic.lock().expect("lock is not poisoned");
             traffic.open.push(connection.clone());
-            traffic.open.len() % CONNECTIONS_BETWEEN_FOLDS == 0
+            traffic.open.len().is_multiple_of(CONNECTIONS_BETWEEN_FOLDS)
         };
         if is_long {
             self.traffic();
--- a/src/process/tls.rs
+++ b/src/process/tls.rs
@@ -38,10 +38,10 @@
 const CONTROL_IDLE_MS: u32 = 30_000;
 
 /// Time after which a silent flow is closed, in milliseconds.
-const FLOW_IDLE_MS: u32 = 60_000;
+const FLOW_IDLE_MS: u32 = 20_000;
 
 /// Time between two keep-alive packets of a flow.
-const FLOW_KEEP_ALIVE: Duration = Duration::from_secs(20);
+const FLOW_KEEP_ALIVE: Duration = Duration::from_secs(7);
 
 /// Requests that one flow may have open at once.
 const MAX_FLOW_STREAMS: u32 = 32;
--- a/src/version/peer.rs
+++ b/src/version/peer.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    /// Takes in records without spreading them, to start from a known state.
+    pub fn preload(&mut self, records: &[Record]) {
+        self.read_from_store(records, true);
+        self.rumors.clear();
+    }
+
     /// Takes in configuration read from the store. `whole` tells that nothing is missing.
     pub fn read_from_store(&mut self, records: &[Record], whole: bool) {
         for record in records {
--- a/standins/src/spread.rs
+++ b/standins/src/spread.rs
@@ -16,6 +16,7 @@
 use rhubarbthread::version::peer::addresses_digest;
 use rhubarbthread::version::record::BalancerRecord;
 use rhubarbthread::version::record::Phase;
+use rhubarbthread::version::record::Record;
 use rhubarbthread::version::record::TargetRecord;
 use rhubarbthread::wire;
 use rhubarbthread::wire::control_request::Kind as RequestKind;
@@ -188,6 +189,17 @@
         spread
     }
 
+    /// Gives every balancer all records, as after a long run.
+    pub fn preload(&mut self, configuration: &[Record]) {
+        let balancers = self.peers.iter().map(|peer| Record::Balancer(peer.own().clone()));
+        let targets = self.agents.iter().map(|agent| Record::Target(agent.record.clone()));
+        let all: Vec<Record> =
+            balancers.chain(targets).chain(configuration.iter().cloned()).collect();
+        for peer in &mut self.peers {
+            peer.preload(&all);
+        }
+    }
+
     /// Time now, in milliseconds.
     pub fn now_ms(&self) -> u64 {
         self.now_ms
--- /dev/null
+++ b/tests/failures_pairs.rs
@@ -0,0 +1,149 @@
+//! Two failures at once, in seeded pairs, under load.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rhubarbthread_standins::load::Load;
+use rhubarbthread_standins::store::StoreFaults;
+use rhubarbthread_standins::system::ServicePlan;
+use rhubarbthread_standins::system::System;
+use rhubarbthread_standins::system::SystemPlan;
+use tokio::time::sleep;
+
+/// Time that a failure lasts.
+const LASTS: Duration = Duration::from_secs(5);
+
+/// Time in which all is as before.
+const HEALED: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    BalancerKilled,
+    BalancerFrozen,
+    AgentFrozen,
+    StoreDown,
+    TargetReplacedCold,
+    ZoneOut,
+    FabricLoses,
+}
+
+const ALL: [Failure; 7] = [
+    Failure::BalancerKilled,
+    Failure::BalancerFrozen,
+    Failure::AgentFrozen,
+    Failure::StoreDown,
+    Failure::TargetReplacedCold,
+    Failure::ZoneOut,
+    Failure::FabricLoses,
+];
+
+async fn begin(system: &mut System, failure: Failure) {
+    match failure {
+        Failure::BalancerKilled => system.balancers[0].take().expect("it runs").kill(),
+        Failure::BalancerFrozen => {
+            system.balancers[1].as_ref().expect("it runs").signal(Signal::SIGSTOP);
+        }
+        Failure::AgentFrozen => {
+            system.places[0].agent.as_ref().expect("it runs").signal(Signal::SIGSTOP);
+        }
+        Failure::StoreDown => {
+            system.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+        }
+        Failure::TargetReplacedCold => {
+            system.target(1).crash().await;
+            system.start_target(1, false).await;
+        }
+        Failure::ZoneOut => {
+            // With the store down as well the operator is told that it is not accepted.
+            system.operate(&["zone", "out", "zlin-c"]);
+        }
+        Failure::FabricLoses => {
+            let mut faults = system.plan.faults;
+            faults.drop_permille = 50;
+            faults.duplicate_permille = 50;
+            faults.reorder_permille = 50;
+            system.fabric.set_faults(faults);
+        }
+    }
+}
+
+async fn end(system: &mut System, failure: Failure) {
+    match failure {
+        Failure::BalancerKilled => system.start_balancer(0),
+        Failure::BalancerFrozen => {
+            system.balancers[1].as_ref().expect("it runs").signal(Signal::SIGCONT);
+        }
+        Failure::AgentFrozen => {
+            system.places[0].agent.as_ref().expect("it runs").signal(Signal::SIGCONT);
+        }
+        Failure::StoreDown => system.store.set_faults(StoreFaults::default()),
+        Failure::TargetReplacedCold => {}
+        Failure::ZoneOut => {
+            system.operate(&["zone", "in", "zlin-c"]);
+        }
+        Failure::FabricLoses => system.fabric.set_faults(system.plan.faults),
+    }
+}
+
+async fn pair(subnet: u8, seed: u64) {
+    let mut failures = ALL;
+    failures.shuffle(&mut StdRng::seed_from_u64(seed));
+    let [first, second, ..] = failures;
+    println!("seed {seed}: {first:?} and {second:?}");
+    let services = vec![ServicePlan::new("vypocet", 3, 9)];
+    let mut plan = SystemPlan::new(subnet).with_services(services);
+    plan.seed = seed;
+    let (mut system, _folder) = support::start(plan).await;
+    let mut load = system.load_plan();
+    load.deadline = Duration::from_secs(6);
+    load.once_percent = 50;
+    load.flow_requests = 10;
+    load.streams = 10;
+    let load = Load::new(load);
+    let running = tokio::spawn({
+        let load = Arc::clone(&load);
+        async move { load.run().await }
+    });
+    sleep(Duration::from_secs(1)).await;
+    begin(&mut system, first).await;
+    begin(&mut system, second).await;
+    sleep(LASTS).await;
+    // The store comes back before an operator takes the zone in again.
+    for failure in [first, second] {
+        if !matches!(failure, Failure::ZoneOut) {
+            end(&mut system, failure).await;
+        }
+    }
+    for failure in [first, second] {
+        if matches!(failure, Failure::ZoneOut) {
+            end(&mut system, failure).await;
+        }
+    }
+    let report = running.await.expect("the load runs to its end");
+    let healed = tokio::time::timeout(HEALED, system.wait_until_ready()).await;
+    assert!(healed.is_ok(), "seed {seed}: not healed\n{}", system.logs());
+    assert_eq!(report.wrong, 0, "seed {seed}: {report:?}");
+    for place in 0..3 {
+        let stats = system.target(place).stats();
+        assert_eq!(stats.ran_twice, 0, "seed {seed}: {stats:?}");
+        assert_eq!(stats.worst_excess, 0, "seed {seed}: {stats:?}");
+    }
+    let mut after = system.load_plan();
+    after.requests = 10;
+    after.streams = 0;
+    let after = Load::new(after).run().await;
+    assert_eq!(after.whole, after.requests, "seed {seed}: {after:?}\n{}", system.logs());
+}
+
+cases! {
+    pair_seed_1: support::run(pair(81, 1));
+    pair_seed_2: support::run(pair(82, 2));
+    pair_seed_3: support::run(pair(83, 3));
+    pair_seed_4: support::run(pair(84, 4));
+}
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,182 @@
+//! Traces of real agents: what a daemon decided is decided again by a replay.
+//!
+//! Kept traces lie in `tests/traces`, each with its outcome in words below. `UPDATE_TRACES=1` records
+//! them anew.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use rhubarbthread::caller::Call;
+use rhubarbthread::caller::Caller;
+use rhubarbthread::caller::CallerSettings;
+use rhubarbthread::process::agent_state::AgentState;
+use rhubarbthread::process::agent_state::Decision;
+use rhubarbthread::process::agent_state::Input;
+use rhubarbthread::process::agent_state::TICKET_BOUNDS;
+use rhubarbthread::process::tls;
+use rhubarbthread_standins::system::ServicePlan;
+use rhubarbthread_standins::system::System;
+use rhubarbthread_standins::system::SystemPlan;
+use serde::Deserialize;
+
+/// The target announces itself cold and grows with its answers; what it does not bear is refused.
+const COLD_START: &str = "cold-start";
+/// Each non-idempotent request is told to take a ticket, and runs once with it.
+const TICKETS: &str = "tickets";
+/// The target leaves while a request runs: that one ends whole, and no new work arrives.
+const LEAVING: &str = "leaving";
+/// The zone goes out and comes back: requests run before and after, none in between.
+const ZONE: &str = "zone";
+
+#[derive(Deserialize)]
+struct Line {
+    at_ms: u64,
+    input: Input,
+    decision: Decision,
+}
+
+fn kept(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/traces").join(format!("{name}.jsonl"))
+}
+
+fn caller(system: &System) -> Caller {
+    Caller::new(CallerSettings {
+        service: system.service(0),
+        server_name: "localhost".to_owned(),
+        client: tls::caller_client_config(&system.authority()).expect("authority is right"),
+        local: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        retry_budget_percent: 0,
+    })
+    .expect("a local socket opens")
+}
+
+async fn burst(system: &System, calls: usize) {
+    let caller = Arc::new(caller(system));
+    let tasks: Vec<_> = (0..calls)
+        .map(|index| {
+            let caller = Arc::clone(&caller);
+            tokio::spawn(async move {
+                let path = format!("/work?id={index}&ms=30");
+                // Refusals are part of the trace.
+                let _ = caller.call(&Call::new(&path, Duration::from_millis(500))).await;
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await.expect("a call does not panic");
+    }
+}
+
+async fn play(name: &str, system: &mut System) {
+    match name {
+        COLD_START => {
+            system.target(0).crash().await;
+            system.start_target(0, false).await;
+            system.wait_until_ready().await;
+            for _ in 0..4 {
+                burst(system, 4).await;
+            }
+        }
+        TICKETS => {
+            let caller = caller(system);
+            for index in 0..3 {
+                let call = Call::new(&format!("/work?id=t{index}&ms=1"), Duration::from_secs(5))
+                    .with_body(Method::POST, Bytes::from_static(b"{}"));
+                caller.call(&call).await.expect("it runs");
+            }
+        }
+        LEAVING => {
+            let caller = Arc::new(caller(system));
+            let running = tokio::spawn({
+                let caller = Arc::clone(&caller);
+                async move { caller.call(&Call::new("/work?id=a&ms=600", Duration::from_secs(5))).await }
+            });
+            let target = Arc::clone(system.target(0));
+            let timeout = Duration::from_secs(5);
+            system.wait_for("it runs", timeout, async |_: &System| target.stats().busy == 1).await;
+            target.leave().await;
+            assert!(running.await.expect("it ends").is_ok(), "what runs ends whole");
+            burst(system, 1).await;
+        }
+        _ => {
+            burst(system, 1).await;
+            system.set_zone("brno-a", true);
+            let admin = system.agent_admin(0);
+            let timeout = Duration::from_secs(5);
+            let is_out = async |system: &System| !system.is_ready(admin).await;
+            system.wait_for("the zone is out", timeout, is_out).await;
+            system.set_zone("brno-a", false);
+            system.wait_until_ready().await;
+            burst(system, 1).await;
+        }
+    }
+}
+
+/// Runs a real agent, writes its trace, and returns it.
+async fn record(name: &str, subnet: u8) -> String {
+    let mut service = ServicePlan::new("vypocet", 1, 4);
+    service.first_limit = 1;
+    service.growth_answers = 3;
+    let mut plan = SystemPlan::new(subnet).with_services(vec![service]);
+    plan.balancers = 1;
+    plan.traces = true;
+    let (mut system, _folder) = support::start(plan).await;
+    play(name, &mut system).await;
+    fs::read_to_string(system.trace_path(0)).expect("the agent writes its trace")
+}
+
+/// Replays a trace; every decision must be the recorded one. Returns how often each was made.
+fn replay(trace: &str) -> BTreeMap<String, usize> {
+    let mut state = AgentState::new(0, TICKET_BOUNDS);
+    let mut counts = BTreeMap::new();
+    // The daemon may be writing the last line while the trace is read.
+    let whole = &trace[..trace.rfind('\n').map_or(0, |end| end + 1)];
+    for (number, text) in whole.lines().enumerate() {
+        let line: Line = serde_json::from_str(text).expect("a line of a trace parses");
+        let decision = state.apply(line.at_ms, &line.input);
+        assert_eq!(decision, line.decision, "line {}: {text}", number + 1);
+        let name = match &decision {
+            Decision::None => continue,
+            Decision::Ticket(_) => "Ticket".to_owned(),
+            Decision::Kept(_) => "Kept".to_owned(),
+            other => format!("{other:?}"),
+        };
+        *counts.entry(name).or_insert(0) += 1;
+    }
+    counts
+}
+
+async fn live(name: &str, subnet: u8) {
+    let trace = record(name, subnet).await;
+    assert!(!replay(&trace).is_empty());
+    if std::env::var_os("UPDATE_TRACES").is_some() {
+        let is_kept = |line: &&str| !line.contains("\"input\":\"Tick\"");
+        let lines: Vec<&str> = trace.lines().filter(is_kept).collect();
+        fs::write(kept(name), lines.join("\n") + "\n").expect("the folder is writable");
+    }
+}
+
+fn replay_kept(name: &str) -> BTreeMap<String, usize> {
+    replay(&fs::read_to_string(kept(name)).expect("the trace is kept"))
+}
+
+cases! {
+    live_cold_start: support::run(live(COLD_START, 71));
+    live_tickets: support::run(live(TICKETS, 72));
+    live_leaving: support::run(live(LEAVING, 73));
+    live_zone: support::run(live(ZONE, 74));
+    kept_cold_start: { insta::assert_debug_snapshot!(replay_kept(COLD_START)); };
+    kept_tickets: { insta::assert_debug_snapshot!(replay_kept(TICKETS)); };
+    kept_leaving: { insta::assert_debug_snapshot!(replay_kept(LEAVING)); };
+    kept_zone: { insta::assert_debug_snapshot!(replay_kept(ZONE)); };
+}
