--- a/src/caller/flow.rs
+++ b/src/caller/flow.rs
@@ -20,7 +20,7 @@
 use crate::caller::CallerSettings;
 use crate::caller::Failure;
 use crate::connection::tag::TAG_BYTES;
-use crate::process::agent::CLOSE_ZONE_OUT;
+use crate::process::agent_shared::CLOSE_ZONE_OUT;
 use crate::request::verdict::Refusal;
 use crate::request::verdict::Verdict;
 
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -3,66 +3,34 @@
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use hmac::Hmac;
-use hmac::Mac;
-use indexmap::IndexMap;
-use quinn::Connection;
 use quinn::Endpoint;
-use quinn::EndpointConfig;
-use quinn::TokioRuntime;
-use serde::Serialize;
-use sha2::Sha256;
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
-use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::connection::openings::OpeningKey;
-use crate::connection::tag::TAG_BYTES;
 use crate::error::Result;
 use crate::error::SocketSnafu;
 use crate::log_event;
 use crate::process::agent_admin;
 use crate::process::agent_reports;
-use crate::process::agent_socket::AgentSocket;
-use crate::process::agent_socket::TagGenerator;
-use crate::process::agent_socket::make_tag;
-use crate::process::agent_state::AgentState;
+use crate::process::agent_shared::AgentShared;
 use crate::process::agent_state::Decision;
 use crate::process::agent_state::Input;
-use crate::process::agent_state::TICKET_BOUNDS;
-use crate::process::clock::Clock;
-use crate::process::clock::HostClock;
-use crate::process::clock::fresh_incarnation;
 use crate::process::control::Control;
 use crate::process::events::Event;
-use crate::process::keys::ClusterKeys;
+use crate::process::flow_endpoint::flow_endpoint;
 use crate::process::keys::read_cluster_keys;
-use crate::process::metrics::AgentMetrics;
 use crate::process::metrics::count;
 use crate::process::request_handler;
 use crate::process::settings::AgentSettings;
 use crate::process::signals;
 use crate::process::tls;
 use crate::process::trace::Trace;
-use crate::process::upstream::Upstream;
-use crate::request::admission::Capacity;
 use crate::request::verdict::Refusal;
-use crate::version::hash::zone_fingerprint;
 use crate::version::record::Phase;
-use crate::version::record::Record;
-use crate::version::record::ServiceRecord;
-use crate::version::record::TargetRecord;
-use crate::version::records::Records;
 
 /// Time between two looks at what has expired.
 const TICK: Duration = Duration::from_millis(250);
@@ -70,493 +38,6 @@
 /// Flows that are taken beyond the limit only to be told when to come back.
 const MAX_REFUSAL_FLOWS: u32 = 64;
 
-/// Time that running requests keep after the zone was taken out, in milliseconds.
-const FLOW_DRAIN_MS: u64 = 1_000;
-
-/// Code with which a flow is closed when its availability zone goes out.
-pub const CLOSE_ZONE_OUT: u32 = 0x5a01;
-
-/// Code with which a flow is closed when the agent takes a new incarnation.
-pub const CLOSE_NEW_INCARNATION: u32 = 0x5a02;
-
-/// What a target tells about itself.
-#[derive(Clone, Debug)]
-pub struct Announcement {
-    /// Name of the service.
-    pub service: String,
-    /// Address on which the target serves HTTP/1.1.
-    pub address: SocketAddr,
-    /// Requests that it runs at once when warm.
-    pub slots: u32,
-    /// Connections that it holds when warm.
-    pub connections: u32,
-    /// Identity of its process.
-    pub process: String,
-    /// Whether it is warm.
-    pub warm: bool,
-}
-
-/// The service that this agent serves now.
-#[derive(Clone, Debug)]
-pub struct Binding {
-    /// Address that callers use.
-    pub service_address: SocketAddr,
-    /// Number in flow tags.
-    pub service_number: u16,
-    /// Address of the target.
-    pub target_address: SocketAddr,
-    /// Connections that the target holds.
-    pub max_connections: u32,
-    /// Deadline of a request that names none, in milliseconds.
-    pub request_deadline_ms: u64,
-    /// Path prefixes of long streams.
-    pub stream_paths: Vec<String>,
-}
-
-#[derive(Default)]
-struct Knowledge {
-    announcement: Option<Announcement>,
-    renewed_at_ms: u64,
-    leaving: bool,
-    expired: bool,
-    records: Records,
-    last_binding: Option<Arc<Binding>>,
-    bound: bool,
-}
-
-#[derive(Serialize)]
-struct TraceLine<'a> {
-    at_ms: u64,
-    input: &'a Input,
-    decision: &'a Decision,
-}
-
-/// What the tasks of one agent share.
-pub struct AgentShared {
-    settings: AgentSettings,
-    keys: ClusterKeys,
-    metrics: AgentMetrics,
-    clock: Box<dyn Clock>,
-    trace: Trace,
-    state: Mutex<AgentState>,
-    knowledge: RwLock<Knowledge>,
-    incarnation: AtomicU64,
-    sequence: AtomicU64,
-    nonce: AtomicU32,
-    zone_out: AtomicBool,
-    zone_closed: AtomicBool,
-    stopping: AtomicBool,
-    configured: AtomicBool,
-    refusal_flows: AtomicU32,
-    connections: Mutex<IndexMap<usize, Connection>>,
-    /// Wakes the reports after a change.
-    pub changed: Notify,
-    /// Tells flows that the target takes no new work.
-    pub leaving: watch::Sender<bool>,
-    /// Connections to the target.
-    pub upstream: Upstream,
-}
-
-impl AgentShared {
-    fn new(settings: AgentSettings, keys: ClusterKeys, trace: Trace) -> Arc<AgentShared> {
-        let incarnation = fresh_incarnation();
-        Arc::new_cyclic(|weak: &std::sync::Weak<AgentShared>| {
-            let weak = weak.clone();
-            let on_loss = move || {
-                if let Some(shared) = weak.upgrade() {
-                    log_event!(Event::TargetConnectionLost);
-                    shared.apply(&Input::ConnectionLost);
-                }
-            };
-            AgentShared {
-                settings,
-                keys,
-                metrics: AgentMetrics::new(),
-                clock: Box::new(HostClock::new()),
-                trace,
-                state: Mutex::new(AgentState::new(incarnation, TICKET_BOUNDS)),
-                knowledge: RwLock::default(),
-                incarnation: AtomicU64::new(incarnation),
-                sequence: AtomicU64::new(0),
-                nonce: AtomicU32::new(0),
-                zone_out: AtomicBool::new(false),
-                zone_closed: AtomicBool::new(false),
-                stopping: AtomicBool::new(false),
-                configured: AtomicBool::new(false),
-                refusal_flows: AtomicU32::new(0),
-                connections: Mutex::default(),
-                changed: Notify::new(),
-                leaving: watch::Sender::new(false),
-                upstream: Upstream::new(Arc::new(on_loss)),
-            }
-        })
-    }
-
-    /// Settings.
-    pub fn settings(&self) -> &AgentSettings {
-        &self.settings
-    }
-
-    /// Shared secrets.
-    pub fn keys(&self) -> &ClusterKeys {
-        &self.keys
-    }
-
-    /// Metrics.
-    pub fn metrics(&self) -> &AgentMetrics {
-        &self.metrics
-    }
-
-    /// Data address, which identifies the agent.
-    pub fn data_address(&self) -> SocketAddrV4 {
-        self.settings.data_address
-    }
-
-    /// Time now, in milliseconds.
-    pub fn now_ms(&self) -> u64 {
-        self.clock.now_ms()
-    }
-
-    /// Whether the availability zone is out.
-    pub fn is_zone_out(&self) -> bool {
-        self.zone_out.load(Ordering::Relaxed)
-    }
-
-    /// Whether the zone is out and its time to drain is over.
-    pub fn is_zone_closed(&self) -> bool {
-        self.zone_closed.load(Ordering::Relaxed)
-    }
-
-    /// Whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Incarnation.
-    pub fn incarnation(&self) -> u64 {
-        self.incarnation.load(Ordering::Relaxed)
-    }
-
-    /// Takes one input in, decides, and writes both to the trace.
-    pub fn apply(&self, input: &Input) -> Decision {
-        let mut state = self.state.lock().expect("lock is not poisoned");
-        // The time is taken under the lock, so that a trace is in the order of its times.
-        let at_ms = self.now_ms();
-        let decision = state.apply(at_ms, input);
-        if self.trace.is_on() {
-            self.trace.write(&TraceLine { at_ms, input, decision: &decision });
-        }
-        decision
-    }
-
-    /// Reads the state.
-    pub fn with_state<T>(&self, read: impl FnOnce(&AgentState) -> T) -> T {
-        read(&self.state.lock().expect("lock is not poisoned"))
-    }
-
-    /// The service that new work is taken for.
-    pub fn binding(&self) -> Option<Arc<Binding>> {
-        let knowledge = self.knowledge.read().expect("lock is not poisoned");
-        if knowledge.bound { knowledge.last_binding.clone() } else { None }
-    }
-
-    /// The service last served, for answers to flows that are ending.
-    pub fn last_binding(&self) -> Option<Arc<Binding>> {
-        self.knowledge.read().expect("lock is not poisoned").last_binding.clone()
-    }
-
-    /// Returns a connection id that no other flow of this incarnation has.
-    pub fn fresh_tag(&self) -> [u8; TAG_BYTES] {
-        let service = self.last_binding().map_or(0, |binding| binding.service_number);
-        let zone = zone_fingerprint(&self.settings.availability_zone);
-        let nonce = self.nonce.fetch_add(1, Ordering::Relaxed);
-        let tag = make_tag(self.data_address(), self.incarnation(), service, zone, nonce);
-        self.keys.tag_keys.seal(&tag)
-    }
-
-    /// Takes in what the target tells about itself.
-    pub fn announce(&self, announcement: Announcement) {
-        let previous = self.announcement();
-        let other_service =
-            previous.as_ref().is_some_and(|previous| previous.service != announcement.service);
-        if other_service {
-            self.take_incarnation(fresh_incarnation());
-        }
-        let replaced =
-            previous.as_ref().is_some_and(|previous| previous.process != announcement.process);
-        if replaced || other_service {
-            log_event!(Event::TargetReplaced, "process={}", announcement.process);
-            self.upstream.replace();
-        }
-        log_event!(
-            Event::TargetAnnounced,
-            "service={} address={} process={} warm={}",
-            announcement.service,
-            announcement.address,
-            announcement.process,
-            announcement.warm
-        );
-        self.apply(&Input::Announced {
-            capacity: self.capacity_of(&announcement),
-            process: announcement.process.clone(),
-            warm: announcement.warm,
-        });
-        {
-            let mut knowledge = self.knowledge.write().expect("lock is not poisoned");
-            knowledge.announcement = Some(announcement);
-            knowledge.renewed_at_ms = self.now_ms();
-            knowledge.leaving = false;
-            knowledge.expired = false;
-        }
-        self.leaving.send_replace(false);
-        self.rebind();
-        self.note_change();
-    }
-
-    /// Takes in a renewal; false where this process is not announced, or its term has passed: it
-    /// must announce itself again.
-    pub fn renew(&self, process: &str) -> bool {
-        let known = {
-            let mut knowledge = self.knowledge.write().expect("lock is not poisoned");
-            let known = knowledge
-                .announcement
-                .as_ref()
-                .is_some_and(|announcement| announcement.process == process)
-                && !knowledge.expired;
-            if known {
-                knowledge.renewed_at_ms = self.now_ms();
-            }
-            known
-        };
-        if known {
-            self.apply(&Input::Renewed { process: process.to_owned() });
-        }
-        known
-    }
-
-    /// Notes that the target takes no new work.
-    pub fn leave(&self) {
-        log_event!(Event::TargetLeaving);
-        self.apply(&Input::Leaving);
-        self.knowledge.write().expect("lock is not poisoned").leaving = true;
-        self.leaving.send_replace(true);
-        self.note_change();
-    }
-
-    /// Takes in configuration from a keeper.
-    pub fn take_configuration(&self, records: &[Record], configured: bool) {
-        if configured {
-            self.configured.store(true, Ordering::Relaxed);
-        }
-        {
-            let mut knowledge = self.knowledge.write().expect("lock is not poisoned");
-            for record in records.iter().filter(|record| record.is_configuration()) {
-                knowledge.records.merge(record);
-            }
-            let out = knowledge.records.is_zone_out(&self.settings.availability_zone);
-            drop(knowledge);
-            self.set_zone_out(out);
-        }
-        self.rebind();
-    }
-
-    /// Answers a keeper that knows a newer record of this agent than its own.
-    pub fn refute(&self, known_incarnation: u64, known_sequence: u64) {
-        if known_incarnation > self.incarnation() {
-            self.take_incarnation(known_incarnation + 1);
-            self.rebind();
-        } else if known_incarnation == self.incarnation() {
-            self.sequence.fetch_max(known_sequence + 1, Ordering::Relaxed);
-        }
-        self.changed.notify_one();
-    }
-
-    /// The record that this agent announces; `None` without a target.
-    pub fn record(&self) -> Option<TargetRecord> {
-        let knowledge = self.knowledge.read().expect("lock is not poisoned");
-        let announcement = knowledge.announcement.as_ref()?;
-        let phase = if self.is_stopping() || knowledge.leaving {
-            Phase::Leaving
-        } else if !knowledge.bound {
-            Phase::Starting
-        } else if self.with_state(|state| state.admission().is_cold()) {
-            Phase::Cold
-        } else {
-            Phase::Serving
-        };
-        Some(TargetRecord {
-            data: self.data_address(),
-            incarnation: self.incarnation(),
-            sequence: self.sequence.load(Ordering::Relaxed),
-            lost: false,
-            service: announcement.service.clone(),
-            zone: self.settings.availability_zone.clone(),
-            slots: announcement.slots,
-            connections: announcement.connections,
-            phase,
-        })
-    }
-
-    /// Moves to the next sequence, so that a changed record is newer than the last one.
-    pub fn note_change(&self) {
-        self.sequence.fetch_add(1, Ordering::Relaxed);
-        self.changed.notify_one();
-    }
-
-    /// Reads the configuration records held.
-    pub fn with_records<T>(&self, read: impl FnOnce(&Records) -> T) -> T {
-        read(&self.knowledge.read().expect("lock is not poisoned").records)
-    }
-
-    /// What the target told last.
-    pub fn announcement(&self) -> Option<Announcement> {
-        self.knowledge.read().expect("lock is not poisoned").announcement.clone()
-    }
-
-    /// Why this agent is not ready, or nothing.
-    pub fn unready_reason(&self) -> Option<&'static str> {
-        if self.is_stopping() {
-            return Some("stopping");
-        }
-        if !self.configured.load(Ordering::Relaxed) {
-            return Some("no configuration yet");
-        }
-        if self.is_zone_out() {
-            return Some("availability zone is out");
-        }
-        if self.binding().is_none() {
-            return Some("no target");
-        }
-        None
-    }
-
-    fn set_zone_out(&self, out: bool) {
-        if self.zone_out.swap(out, Ordering::Relaxed) == out {
-            return;
-        }
-        log_event!(Event::ZoneChanged, "out={out}");
-        self.apply(&Input::ZoneOut { out });
-        self.leaving.send_replace(out || self.is_leaving());
-    }
-
-    fn is_leaving(&self) -> bool {
-        self.knowledge.read().expect("lock is not poisoned").leaving
-    }
-
-    /// Closes what still runs some time after the zone was taken out.
-    fn close_after_drain(&self, out_since_ms: &mut Option<u64>) {
-        if !self.is_zone_out() {
-            *out_since_ms = None;
-            self.zone_closed.store(false, Ordering::Relaxed);
-            return;
-        }
-        let since_ms = *out_since_ms.get_or_insert(self.now_ms());
-        if self.now_ms().saturating_sub(since_ms) >= FLOW_DRAIN_MS {
-            self.close_flows(CLOSE_ZONE_OUT, b"availability zone is out");
-            self.zone_closed.store(true, Ordering::Relaxed);
-        }
-    }
-
-    fn take_incarnation(&self, incarnation: u64) {
-        log_event!(Event::IncarnationChanged, "incarnation={incarnation}");
-        self.apply(&Input::Incarnation { incarnation });
-        self.incarnation.store(incarnation, Ordering::Relaxed);
-        self.sequence.store(0, Ordering::Relaxed);
-        self.close_flows(CLOSE_NEW_INCARNATION, b"new incarnation");
-    }
-
-    fn close_flows(&self, code: u32, reason: &[u8]) {
-        let connections = std::mem::take(&mut *self.connections.lock().expect("lock"));
-        for connection in connections.values() {
-            connection.close(code.into(), reason);
-        }
-    }
-
-    fn capacity_of(&self, announcement: &Announcement) -> Capacity {
-        let service = self.with_records(|records| records.service(&announcement.service).cloned());
-        Capacity {
-            slots: announcement.slots,
-            connections: announcement.connections,
-            first_limit: service.as_ref().map_or(1, |service| service.first_limit),
-            growth_answers: service.as_ref().map_or(1, |service| service.growth_answers),
-        }
-    }
-
-    /// Works out the binding from the announcement and the service's record.
-    fn rebind(&self) {
-        let Some(announcement) = self.announcement() else {
-            self.knowledge.write().expect("lock is not poisoned").bound = false;
-            return;
-        };
-        let capacity = self.capacity_of(&announcement);
-        if self.with_state(|state| state.admission().capacity()) != capacity {
-            self.apply(&Input::CapacityChanged { capacity });
-        }
-        let mut knowledge = self.knowledge.write().expect("lock is not poisoned");
-        let was_bound = knowledge.bound;
-        let service = knowledge.records.service(&announcement.service).cloned();
-        if let Some(service) = service {
-            knowledge.last_binding = Some(Arc::new(binding(&service, &announcement)));
-            knowledge.bound = true;
-        }
-        let newly_bound = knowledge.bound && !was_bound;
-        drop(knowledge);
-        if newly_bound {
-            self.note_change();
-        }
-    }
-
-    /// Ends the announcement of a target that no longer renews.
-    fn expire_target(&self) {
-        let expired = {
-            let mut knowledge = self.knowledge.write().expect("lock is not poisoned");
-            let silent_ms = self.now_ms().saturating_sub(knowledge.renewed_at_ms);
-            let is_over = silent_ms >= self.settings.target_term_ms;
-            let expired = knowledge.announcement.is_some() && is_over;
-            let newly_expired = expired && !knowledge.expired;
-            knowledge.expired |= expired;
-            knowledge.leaving |= expired;
-            newly_expired
-        };
-        if expired {
-            log_event!(Event::TargetExpired);
-            self.apply(&Input::Gone);
-            self.upstream.replace();
-            self.note_change();
-        }
-    }
-
-    fn update_gauges(&self) {
-        let metrics = &self.metrics;
-        self.with_state(|state| {
-            metrics.busy_slots.set(i64::from(state.admission().busy()));
-            metrics.slot_limit.set(i64::from(state.admission().limit()));
-            metrics.flows.set(i64::from(state.admission().flows()));
-        });
-    }
-
-    fn remember_connection(&self, connection: &Connection) {
-        let mut connections = self.connections.lock().expect("lock is not poisoned");
-        connections.insert(connection.stable_id(), connection.clone());
-    }
-
-    fn forget_connection(&self, connection: &Connection) {
-        let mut connections = self.connections.lock().expect("lock is not poisoned");
-        connections.swap_remove(&connection.stable_id());
-    }
-}
-
-fn binding(service: &ServiceRecord, announcement: &Announcement) -> Binding {
-    Binding {
-        service_address: service.address,
-        service_number: service.number,
-        target_address: announcement.address,
-        max_connections: announcement.connections,
-        request_deadline_ms: u64::from(service.request_deadline_ms),
-        stream_paths: service.stream_paths.clone(),
-    }
-}
-
 /// Runs an agent until it is told to stop.
 pub async fn run(settings: AgentSettings) -> Result<()> {
     let keys = read_cluster_keys(&settings.keys_file)?;
@@ -586,45 +67,6 @@
     Ok(())
 }
 
-fn flow_endpoint(
-    shared: &Arc<AgentShared>,
-    socket: UdpSocket,
-    server: quinn::ServerConfig,
-    reset_key: &[u8],
-) -> Result<Endpoint> {
-    let reset = Hmac::<Sha256>::new_from_slice(reset_key).expect("HMAC takes any key length");
-    let mut config = EndpointConfig::new(Arc::new(ResetKey { mac: reset }));
-    let generator = Arc::clone(shared);
-    config.cid_generator(move || Box::new(TagGenerator::new(Arc::clone(&generator))));
-    let fabric = shared.settings.fabric_address;
-    let socket = Arc::new(AgentSocket::new(socket, fabric, Arc::clone(shared)));
-    let address = SocketAddr::V4(shared.data_address());
-    Endpoint::new_with_abstract_socket(config, Some(server), socket, Arc::new(TokioRuntime))
-        .context(SocketSnafu { address })
-}
-
-struct ResetKey {
-    mac: Hmac<Sha256>,
-}
-
-impl quinn::crypto::HmacKey for ResetKey {
-    fn sign(&self, data: &[u8], signature_out: &mut [u8]) {
-        let mut mac = self.mac.clone();
-        mac.update(data);
-        signature_out.copy_from_slice(&mac.finalize().into_bytes());
-    }
-
-    fn signature_len(&self) -> usize {
-        32
-    }
-
-    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), quinn::crypto::CryptoError> {
-        let mut mac = self.mac.clone();
-        mac.update(data);
-        mac.verify_slice(signature).map_err(|_| quinn::crypto::CryptoError)
-    }
-}
-
 async fn tick(shared: Arc<AgentShared>) {
     let mut was_cold = true;
     let mut out_since_ms = None;
@@ -666,13 +108,13 @@
 
 /// Takes a few flows beyond the limit, to tell their callers when to come back.
 async fn refuse_flow(shared: &Arc<AgentShared>, incoming: quinn::Incoming, reason: Refusal) {
-    count(&shared.metrics.refused_flows, reason.as_str());
-    if shared.refusal_flows.fetch_add(1, Ordering::Relaxed) < MAX_REFUSAL_FLOWS {
+    count(&shared.metrics().refused_flows, reason.as_str());
+    if shared.begin_refusal_flow(MAX_REFUSAL_FLOWS) {
         run_flow(shared, incoming, Some(reason)).await;
     } else {
         incoming.refuse();
     }
-    shared.refusal_flows.fetch_sub(1, Ordering::Relaxed);
+    shared.end_refusal_flow();
 }
 
 async fn run_flow(shared: &Arc<AgentShared>, incoming: quinn::Incoming, refusal: Option<Refusal>) {
@@ -690,9 +132,8 @@
 
 /// A planned stop: no new work, running requests end whole.
 async fn stop(shared: &Arc<AgentShared>, control: &Arc<Control>, endpoint: &Endpoint) {
-    shared.stopping.store(true, Ordering::Relaxed);
-    shared.leave();
-    let until_ms = shared.now_ms() + shared.settings.stop_ms;
+    shared.begin_stop();
+    let until_ms = shared.now_ms() + shared.settings().stop_ms;
     while is_working(shared) && shared.now_ms() < until_ms {
         sleep(TICK / 5).await;
     }
--- a/src/process/agent_admin.rs
+++ b/src/process/agent_admin.rs
@@ -17,8 +17,8 @@
 use crate::process::admin;
 use crate::process::admin::AdminHandle;
 use crate::process::admin::AdminView;
-use crate::process::agent::AgentShared;
-use crate::process::agent::Announcement;
+use crate::process::agent_shared::AgentShared;
+use crate::process::agent_shared::Announcement;
 use crate::version::records::configuration_digest;
 use crate::version::service::is_valid_name;
 
--- a/src/process/agent_reports.rs
+++ b/src/process/agent_reports.rs
@@ -10,7 +10,7 @@
 
 use crate::connection::envelope::from_hop;
 use crate::log_event;
-use crate::process::agent::AgentShared;
+use crate::process::agent_shared::AgentShared;
 use crate::process::agent_state::Input;
 use crate::process::configuration::CONTACT_PREFIX;
 use crate::process::control::CallError;
--- a/src/process/agent_socket.rs
+++ b/src/process/agent_socket.rs
@@ -29,7 +29,7 @@
 use crate::connection::tag::Arrival;
 use crate::connection::tag::TAG_BYTES;
 use crate::connection::tag::Tag;
-use crate::process::agent::AgentShared;
+use crate::process::agent_shared::AgentShared;
 use crate::process::agent_state::Decision;
 use crate::process::agent_state::Input;
 use crate::process::metrics::count;
--- /dev/null
+++ b/src/process/relay.rs
@@ -0,0 +1,127 @@
+//! The way of an answer from the target to the caller.
+
+use bytes::Bytes;
+use h3::error::Code;
+use h3::quic::SendStream;
+use h3::server::RequestStream;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::process::agent_shared::AgentShared;
+use crate::process::metrics::count;
+use crate::process::request_handler::Ending;
+use crate::process::upstream::UpstreamConnection;
+use crate::request::admission::Outcome;
+use crate::request::ticket_book::KeptAnswer;
+use crate::request::verdict::VERDICT_HEADER;
+use crate::request::verdict::Verdict;
+
+/// Largest answer body kept for a ticket, in bytes (64 kilobytes).
+pub const MAX_KEPT_BODY_BYTES: usize = 64 << 10;
+
+/// An answer on its way from the target to the caller.
+pub struct Relay<'a, S> {
+    /// The agent.
+    pub shared: &'a AgentShared,
+    /// The caller.
+    pub stream: &'a mut RequestStream<S, Bytes>,
+    /// Told how the request ended.
+    pub ending: &'a mut Ending,
+    /// The target.
+    pub connection: UpstreamConnection,
+    /// When the answer must be whole.
+    pub deadline: Instant,
+}
+
+impl<S> Relay<'_, S>
+where
+    S: SendStream<Bytes>,
+{
+    /// Passes the answer on, and keeps it for its ticket.
+    pub async fn answer(self, response: Response<Incoming>, keeps_answer: bool) {
+        let (mut head, mut body) = response.into_parts();
+        remove_hop_headers(&mut head.headers);
+        let is_shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        let verdict = if is_shed { Verdict::MayHaveRun } else { Verdict::Ran };
+        head.headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict.as_str()));
+        count(&self.shared.metrics().answers, verdict.as_str());
+        let mut kept = keeps_answer.then(|| KeptAnswer {
+            status: head.status.as_u16(),
+            headers: kept_headers(&head.headers),
+            body: Some(Vec::new()),
+        });
+        let mut caller_is_there =
+            self.stream.send_response(Response::from_parts(head, ())).await.is_ok();
+        loop {
+            if !caller_is_there && kept.is_none() {
+                self.ending.ended(Outcome::Abandoned, None);
+                return;
+            }
+            let data = match timeout_at(self.deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return self.broken(Outcome::Failed),
+                Err(_) => return self.broken(Outcome::Abandoned),
+            };
+            keep_body(&mut kept, &data);
+            if caller_is_there {
+                caller_is_there = self.stream.send_data(data).await.is_ok();
+            }
+        }
+        let outcome = if is_shed { Outcome::Shed } else { Outcome::Answered };
+        self.ending.ended(outcome, kept);
+        self.shared.upstream.give_back(self.connection);
+        // A caller that is gone has no use for the end of the answer.
+        let _ = self.stream.finish().await;
+    }
+
+    /// Breaks the answer off, so that the caller does not take a part for the whole.
+    fn broken(self, outcome: Outcome) {
+        self.ending.ended(outcome, None);
+        self.stream.stop_stream(Code::H3_INTERNAL_ERROR);
+    }
+}
+
+fn keep_body(kept: &mut Option<KeptAnswer>, data: &[u8]) {
+    let Some(answer) = kept else {
+        return;
+    };
+    let Some(body) = &mut answer.body else {
+        return;
+    };
+    if body.len() + data.len() > MAX_KEPT_BODY_BYTES {
+        answer.body = None;
+    } else {
+        body.extend_from_slice(data);
+    }
+}
+
+fn kept_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let pair = |(name, value): (&HeaderName, &HeaderValue)| {
+        Some((name.to_string(), value.to_str().ok()?.to_owned()))
+    };
+    headers.iter().filter_map(pair).collect()
+}
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1).
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ] {
+        headers.remove(name);
+    }
+}
--- a/src/process/request_handler.rs
+++ b/src/process/request_handler.rs
@@ -1,7 +1,7 @@
 //! One caller's flow: HTTP/3 requests in, HTTP/1.1 requests to the target, whole answers back.
 //!
 //! Bounds: [`MAX_BODY_BYTES`] a request body, [`MAX_BUFFERED_BYTES`] of request bodies together,
-//! [`MAX_KEPT_BODY_BYTES`] of an answer kept for its ticket.
+//! [`crate::process::relay::MAX_KEPT_BODY_BYTES`] of an answer kept for its ticket.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -10,22 +10,15 @@
 
 use bytes::Buf;
 use bytes::Bytes;
-use h3::error::Code;
 use h3::quic::BidiStream;
 use h3::quic::RecvStream;
 use h3::quic::SendStream;
 use h3::server::RequestStream;
-use http::HeaderMap;
-use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
-use http::Response;
-use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use quinn::Connection;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
@@ -37,24 +30,24 @@
 use tokio::time::timeout_at;
 
 use crate::log_event;
-use crate::process::agent::AgentShared;
-use crate::process::agent::Binding;
+use crate::process::agent_shared::AgentShared;
+use crate::process::agent_shared::Binding;
 use crate::process::agent_state::Decision;
 use crate::process::agent_state::Input;
 use crate::process::agent_state::TicketId;
 use crate::process::events::Event;
-use crate::process::metrics::count;
-use crate::process::upstream::UpstreamConnection;
+use crate::process::refusals::refuse;
+use crate::process::refusals::refuse_with;
+use crate::process::refusals::send_kept;
+use crate::process::relay::Relay;
+use crate::process::relay::remove_hop_headers;
 use crate::process::upstream::UpstreamError;
 use crate::request::admission::Outcome;
 use crate::request::deadline;
 use crate::request::deadline::DEADLINE_HEADER;
 use crate::request::ticket::TICKET_HEADER;
-use crate::request::ticket::Ticket;
 use crate::request::ticket_book::KeptAnswer;
-use crate::request::verdict::REASON_HEADER;
 use crate::request::verdict::Refusal;
-use crate::request::verdict::VERDICT_HEADER;
 use crate::request::verdict::Verdict;
 
 /// Largest request body, in bytes (one megabyte).
@@ -63,9 +56,6 @@
 /// Request bodies held at once, in bytes (32 megabytes).
 pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
-/// Largest answer body kept for a ticket, in bytes (64 kilobytes).
-pub const MAX_KEPT_BODY_BYTES: usize = 64 << 10;
-
 /// Time without a request after which the flow of a leaving target is told to go away. A request
 /// that crosses the GOAWAY on its way gets no answer, so busy flows are refused one by one instead.
 const QUIET_BEFORE_GOAWAY: Duration = Duration::from_millis(300);
@@ -221,7 +211,7 @@
 }
 
 /// Tells the decisions how a request ended, at the latest when it is dropped.
-struct Ending {
+pub struct Ending {
     shared: Arc<AgentShared>,
     ticket: Option<TicketId>,
     told: bool,
@@ -238,7 +228,8 @@
         self.shared.apply(&Input::NotSent { ticket: self.ticket });
     }
 
-    fn ended(&mut self, outcome: Outcome, answer: Option<KeptAnswer>) {
+    /// The request ended so.
+    pub fn ended(&mut self, outcome: Outcome, answer: Option<KeptAnswer>) {
         self.told = true;
         if self.holds_slot {
             self.shared.apply(&Input::Ended { outcome, ticket: self.ticket, answer });
@@ -369,84 +360,6 @@
     refuse(shared, stream, reason).await;
 }
 
-/// An answer on its way from the target to the caller.
-struct Relay<'a, S> {
-    shared: &'a AgentShared,
-    stream: &'a mut RequestStream<S, Bytes>,
-    ending: &'a mut Ending,
-    connection: UpstreamConnection,
-    deadline: Instant,
-}
-
-impl<S> Relay<'_, S>
-where
-    S: SendStream<Bytes>,
-{
-    async fn answer(self, response: Response<Incoming>, keeps_answer: bool) {
-        let (mut head, mut body) = response.into_parts();
-        remove_hop_headers(&mut head.headers);
-        let is_shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
-        let verdict = if is_shed { Verdict::MayHaveRun } else { Verdict::Ran };
-        head.headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict.as_str()));
-        count(&self.shared.metrics().answers, verdict.as_str());
-        let mut kept = keeps_answer.then(|| KeptAnswer {
-            status: head.status.as_u16(),
-            headers: kept_headers(&head.headers),
-            body: Some(Vec::new()),
-        });
-        let mut caller_is_there =
-            self.stream.send_response(Response::from_parts(head, ())).await.is_ok();
-        loop {
-            if !caller_is_there && kept.is_none() {
-                self.ending.ended(Outcome::Abandoned, None);
-                return;
-            }
-            let data = match timeout_at(self.deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) => break,
-                Ok(Some(Err(_))) => return self.broken(Outcome::Failed),
-                Err(_) => return self.broken(Outcome::Abandoned),
-            };
-            keep_body(&mut kept, &data);
-            if caller_is_there {
-                caller_is_there = self.stream.send_data(data).await.is_ok();
-            }
-        }
-        let outcome = if is_shed { Outcome::Shed } else { Outcome::Answered };
-        self.ending.ended(outcome, kept);
-        self.shared.upstream.give_back(self.connection);
-        // A caller that is gone has no use for the end of the answer.
-        let _ = self.stream.finish().await;
-    }
-
-    /// Breaks the answer off, so that the caller does not take a part for the whole.
-    fn broken(self, outcome: Outcome) {
-        self.ending.ended(outcome, None);
-        self.stream.stop_stream(Code::H3_INTERNAL_ERROR);
-    }
-}
-
-fn keep_body(kept: &mut Option<KeptAnswer>, data: &[u8]) {
-    let Some(answer) = kept else {
-        return;
-    };
-    let Some(body) = &mut answer.body else {
-        return;
-    };
-    if body.len() + data.len() > MAX_KEPT_BODY_BYTES {
-        answer.body = None;
-    } else {
-        body.extend_from_slice(data);
-    }
-}
-
-fn kept_headers(headers: &HeaderMap) -> Vec<(String, String)> {
-    let pair = |(name, value): (&HeaderName, &HeaderValue)| {
-        Some((name.to_string(), value.to_str().ok()?.to_owned()))
-    };
-    headers.iter().filter_map(pair).collect()
-}
-
 fn upstream_request(binding: &Binding, arrived: Arrived) -> Request<Full<Bytes>> {
     let (mut head, ()) = arrived.request.into_parts();
     let authority = head.uri.authority().map(ToString::to_string);
@@ -469,92 +382,3 @@
     }
     Request::from_parts(head, Full::new(arrived.body.bytes))
 }
-
-/// Headers that belong to one connection (RFC 9110, section 7.6.1).
-fn remove_hop_headers(headers: &mut HeaderMap) {
-    for name in [
-        header::CONNECTION,
-        header::TRANSFER_ENCODING,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ] {
-        headers.remove(name);
-    }
-}
-
-async fn send_kept<S>(
-    shared: &AgentShared,
-    stream: &mut RequestStream<S, Bytes>,
-    answer: &KeptAnswer,
-) where
-    S: SendStream<Bytes>,
-{
-    count(&shared.metrics().answers, "kept");
-    let mut response = Response::builder().status(answer.status);
-    for (name, value) in &answer.headers {
-        response = response.header(name, value);
-    }
-    let Ok(response) = response.body(()) else {
-        return;
-    };
-    send(stream, response, answer.body.clone().unwrap_or_default()).await;
-}
-
-async fn refuse<S>(shared: &AgentShared, stream: &mut RequestStream<S, Bytes>, reason: Refusal)
-where
-    S: SendStream<Bytes>,
-{
-    refuse_with(shared, stream, reason, reason.verdict()).await;
-}
-
-async fn refuse_with<S>(
-    shared: &AgentShared,
-    stream: &mut RequestStream<S, Bytes>,
-    reason: Refusal,
-    verdict: Verdict,
-) where
-    S: SendStream<Bytes>,
-{
-    count(&shared.metrics().refused_requests, reason.as_str());
-    log_event!(Event::RequestRefused, "reason={} verdict={verdict}", reason.as_str());
-    let mut response = Response::builder()
-        .status(reason.status())
-        .header(VERDICT_HEADER, verdict.as_str())
-        .header(REASON_HEADER, reason.as_str());
-    if let Some(after_s) = reason.retry_after_s() {
-        response = response.header(header::RETRY_AFTER, after_s);
-    }
-    if reason == Refusal::TicketNeeded
-        && let Some(ticket) = fresh_ticket(shared)
-    {
-        response = response.header(TICKET_HEADER, ticket);
-    }
-    let Ok(response) = response.body(()) else {
-        return;
-    };
-    send(stream, response, format!("{}\n", reason.as_str()).into_bytes()).await;
-}
-
-fn fresh_ticket(shared: &AgentShared) -> Option<String> {
-    let Decision::Ticket(number) = shared.apply(&Input::TicketWanted) else {
-        return None;
-    };
-    let tag = shared.fresh_tag();
-    let ticket = Ticket { tag, incarnation: shared.incarnation(), number };
-    Some(shared.keys().ticket_keys.seal(&ticket))
-}
-
-async fn send<S>(stream: &mut RequestStream<S, Bytes>, response: Response<()>, body: Vec<u8>)
-where
-    S: SendStream<Bytes>,
-{
-    // A caller that is gone gets no answer.
-    if stream.send_response(response).await.is_ok()
-        && stream.send_data(Bytes::from(body)).await.is_ok()
-    {
-        let _ = stream.finish().await;
-    }
-}
--- /dev/null
+++ b/src/version/peer/exchange.rs
@@ -0,0 +1,200 @@
+//! Rumors and digest exchanges between balancers.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::connection::envelope::from_hop;
+use crate::connection::envelope::to_hop;
+use crate::version::digest::Digest;
+use crate::version::digest::Summary;
+use crate::version::hash::hash64;
+use crate::version::message;
+use crate::version::peer::Outgoing;
+use crate::version::peer::Peer;
+use crate::version::record::BalancerRecord;
+use crate::version::record::Record;
+use crate::version::record::RecordKey;
+use crate::version::rendezvous;
+use crate::version::rendezvous::Candidate;
+use crate::wire;
+use crate::wire::control_request::Kind as RequestKind;
+
+/// Peers that new records are pushed to.
+pub const NEIGHBOURS: usize = 6;
+
+/// One exchange in so many goes to a peer outside the neighbours, lost ones and seeds included.
+const FAR_EXCHANGE_ONE_IN: u64 = 4;
+
+/// Records in one message at most.
+const MAX_MESSAGE_RECORDS: usize = 4_096;
+
+impl Peer {
+    /// Peers that new records are pushed to.
+    pub fn neighbours(&self) -> Vec<SocketAddrV4> {
+        let others: Vec<&BalancerRecord> = self.others().collect();
+        let candidates: Vec<Candidate<'_>> = others
+            .iter()
+            .map(|other| Candidate {
+                id: hash64(other.control.to_string().as_bytes()),
+                weight: 1,
+                zone: &other.zone,
+            })
+            .collect();
+        let key = hash64(self.own.control.to_string().as_bytes());
+        let chosen = rendezvous::choose(key, &candidates, NEIGHBOURS);
+        chosen.into_iter().map(|index| others[index].control).collect()
+    }
+
+    pub(super) fn push_rumors(&mut self) -> Vec<Outgoing> {
+        if self.rumors.is_empty() {
+            return Vec::new();
+        }
+        let neighbours = self.neighbours();
+        if neighbours.is_empty() {
+            return Vec::new();
+        }
+        let due: Vec<RecordKey> =
+            self.rumors.drain(..self.rumors.len().min(MAX_MESSAGE_RECORDS)).collect();
+        let records: Vec<wire::Record> =
+            due.iter().filter_map(|key| self.records.get(key)).map(message::to_message).collect();
+        let request = |records| wire::ControlRequest {
+            kind: Some(RequestKind::Rumors(wire::Rumors { records })),
+        };
+        neighbours
+            .into_iter()
+            .map(|to| Outgoing { to, request: request(records.clone()) })
+            .collect()
+    }
+
+    pub(super) fn is_live(&self, control: SocketAddrV4) -> bool {
+        self.records.live_balancers().any(|balancer| balancer.control == control)
+    }
+
+    pub(super) fn is_digest(&self, call: &Outgoing) -> bool {
+        matches!(call.request.kind, Some(RequestKind::Digest(_))) && self.is_live(call.to)
+    }
+
+    pub(super) fn try_again(&self, to: SocketAddrV4) -> Vec<Outgoing> {
+        vec![self.exchange_with(to)]
+    }
+
+    pub(super) fn start_exchange(&mut self, random: u64) -> Option<Outgoing> {
+        let to = self.exchange_peer(random)?;
+        Some(self.exchange_with(to))
+    }
+
+    pub(super) fn exchange_with(&self, to: SocketAddrV4) -> Outgoing {
+        let request = wire::ControlRequest {
+            kind: Some(RequestKind::Digest(wire::Digest {
+                root: self.records.digest().root(),
+                buckets: self.records.digest().buckets().to_vec(),
+                configured: self.configured,
+                sender: Some(to_hop(self.own.control)),
+            })),
+        };
+        Outgoing { to, request }
+    }
+
+    pub(super) fn exchange_peer(&self, random: u64) -> Option<SocketAddrV4> {
+        let neighbours = self.neighbours();
+        let pick = |addresses: &[SocketAddrV4]| {
+            let index = (random >> 8) as usize % addresses.len().max(1);
+            addresses.get(index).copied()
+        };
+        let go_far = random.is_multiple_of(FAR_EXCHANGE_ONE_IN);
+        if !go_far && !neighbours.is_empty() {
+            return pick(&neighbours);
+        }
+        let known = self.records.iter().filter_map(|record| match record {
+            Record::Balancer(other) if !other.gone => Some(other.control),
+            _ => None,
+        });
+        let far: IndexSet<SocketAddrV4> = known
+            .chain(self.seeds.iter().copied())
+            .filter(|control| *control != self.own.control)
+            .collect();
+        pick(&far.into_iter().collect::<Vec<_>>())
+    }
+
+    pub(super) fn answer_digest(&mut self, digest: &wire::Digest) -> Option<wire::DigestAnswer> {
+        if let Some(sender) = digest.sender.as_ref().and_then(from_hop) {
+            self.failures.swap_remove(&sender);
+        }
+        let mut answer = wire::DigestAnswer { configured: self.configured, ..Default::default() };
+        if digest.root == self.records.digest().root() {
+            self.configured |= digest.configured;
+            answer.same = true;
+            return Some(answer);
+        }
+        let theirs = Digest::from_buckets(&digest.buckets)?;
+        let differing = self.records.digest().differing(&theirs);
+        answer.buckets = differing.iter().map(|bucket| *bucket as u32).collect();
+        let summaries = self.records.summaries(&differing);
+        answer.summaries = summaries.iter().map(message::summary_to_message).collect();
+        Some(answer)
+    }
+
+    pub(super) fn after_digest(
+        &mut self,
+        to: SocketAddrV4,
+        answer: &wire::DigestAnswer,
+    ) -> Vec<Outgoing> {
+        if answer.same {
+            self.configured |= answer.configured;
+            return Vec::new();
+        }
+        let theirs: IndexMap<u64, Summary> = answer
+            .summaries
+            .iter()
+            .map(message::summary_from_message)
+            .map(|summary| (summary.key_hash, summary))
+            .collect();
+        let buckets: Vec<usize> = answer.buckets.iter().map(|bucket| *bucket as usize).collect();
+        let pull = self.pull_for(&theirs, &buckets);
+        if pull.records.is_empty() && pull.wanted.is_empty() {
+            return Vec::new();
+        }
+        let request = wire::ControlRequest { kind: Some(RequestKind::Pull(pull)) };
+        vec![Outgoing { to, request }]
+    }
+
+    pub(super) fn pull_for(
+        &self,
+        theirs: &IndexMap<u64, Summary>,
+        buckets: &[usize],
+    ) -> wire::Pull {
+        let mut pull = wire::Pull::default();
+        let mut ours: IndexMap<u64, ()> = IndexMap::new();
+        for record in self.records.iter() {
+            let key_hash = record.key().hash();
+            if !buckets.contains(&Digest::bucket_of(key_hash)) {
+                continue;
+            }
+            ours.insert(key_hash, ());
+            let their_order = theirs.get(&key_hash).map(|summary| summary.order);
+            if their_order.is_none_or(|order| order < record.order()) {
+                pull.records.push(message::to_message(record));
+            } else if their_order.is_some_and(|order| order > record.order()) {
+                pull.wanted.push(key_hash);
+            }
+        }
+        pull.wanted.extend(theirs.keys().filter(|key_hash| !ours.contains_key(*key_hash)));
+        pull.records.truncate(MAX_MESSAGE_RECORDS);
+        pull
+    }
+
+    pub(super) fn answer_pull(&mut self, pull: &wire::Pull) -> wire::Rumors {
+        self.take_messages(&pull.records);
+        let wanted: IndexSet<u64> = pull.wanted.iter().copied().collect();
+        let records = self
+            .records
+            .iter()
+            .filter(|record| wanted.contains(&record.key().hash()))
+            .take(MAX_MESSAGE_RECORDS)
+            .map(message::to_message)
+            .collect();
+        wire::Rumors { records }
+    }
+}
--- /dev/null
+++ b/src/version/peer/lifetimes.rs
@@ -0,0 +1,80 @@
+//! What begins and ends with time: draining zones, lost balancers, forgotten records.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexSet;
+
+use crate::version::peer::Peer;
+use crate::version::record::Phase;
+use crate::version::record::Record;
+use crate::version::record::RecordKey;
+
+/// Time that established flows keep after their zone was taken out, in milliseconds. It covers the
+/// time until the agents hear of it and the end of their running requests.
+pub const ZONE_DRAIN_MS: u64 = 2_200;
+
+/// Time after which an ended target or balancer is forgotten, in milliseconds (one hour).
+pub const ENDED_MEMORY_MS: u64 = 3_600_000;
+
+impl Peer {
+    /// Zones that were taken out a moment ago: their running requests may still end.
+    pub fn draining_zones(&self) -> Vec<String> {
+        self.draining_until_ms.keys().cloned().collect()
+    }
+
+    /// Starts the time to drain of zones that went out, and ends it where it is over.
+    pub(super) fn drain_zones(&mut self, now_ms: u64) {
+        for until_ms in self.draining_until_ms.values_mut() {
+            until_ms.get_or_insert(now_ms + ZONE_DRAIN_MS);
+        }
+        self.draining_until_ms.retain(|zone, until_ms| {
+            until_ms.is_some_and(|until_ms| now_ms < until_ms) && self.records.is_zone_out(zone)
+        });
+    }
+
+    /// Notes which zones are in use. A zone that was in use and goes out gets time to drain; a
+    /// balancer that knows a zone only as out gives it none.
+    pub(super) fn note_zone(&mut self, record: &Record) {
+        match record {
+            Record::Zone(zone) if zone.out => {
+                let was_in_use = self.zones_in_use.swap_remove(&zone.name);
+                self.draining_until_ms.extend(was_in_use.then(|| (zone.name.clone(), None)));
+            }
+            Record::Zone(zone) => {
+                self.zones_in_use.insert(zone.name.clone());
+            }
+            Record::Target(target) if !self.records.is_zone_out(&target.zone) => {
+                self.zones_in_use.insert(target.zone.clone());
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn declare_balancer_lost(&mut self, control: SocketAddrV4) {
+        let held = self.records.get(&RecordKey::Balancer(control));
+        let Some(Record::Balancer(held)) = held else {
+            return;
+        };
+        let mut record = held.clone();
+        record.lost = true;
+        self.counts.balancers_lost += u64::from(self.take(&Record::Balancer(record)));
+    }
+
+    pub(super) fn forget_ended(&mut self, now_ms: u64) {
+        let ended = |record: &&Record| match record {
+            Record::Target(target) => target.lost || target.phase == Phase::Gone,
+            Record::Balancer(balancer) => balancer.gone || balancer.lost,
+            _ => false,
+        };
+        let ended: IndexSet<RecordKey> =
+            self.records.iter().filter(ended).map(Record::key).collect();
+        self.ended_at_ms.retain(|key, _| ended.contains(key));
+        for key in ended {
+            let since_ms = *self.ended_at_ms.entry(key.clone()).or_insert(now_ms);
+            if now_ms.saturating_sub(since_ms) >= ENDED_MEMORY_MS {
+                self.records.forget(&key);
+                self.ended_at_ms.swap_remove(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/version/peer/mod.rs
@@ -0,0 +1,367 @@
+//! One balancer's part in spreading records: rumors, digest exchange, keeping targets.
+//!
+//! New records go at once to a few neighbours, chosen by rendezvous hashing and so the same from
+//! round to round, which keeps connections few and open. A digest exchange with one peer every few
+//! seconds mends what was lost; now and then it goes to a peer believed lost, so that parts which
+//! were separated find each other again.
+//!
+//! Bounds: pending rumors and observations are bounded by the number of records.
+
+mod exchange;
+mod keeping;
+mod lifetimes;
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::version::hash::hash64;
+use crate::version::keeper::Keeper;
+use crate::version::message;
+use crate::version::record::BalancerRecord;
+use crate::version::record::Record;
+use crate::version::record::RecordKey;
+use crate::version::records::Merge;
+use crate::version::records::Records;
+use crate::wire;
+use crate::wire::control_request::Kind as RequestKind;
+use crate::wire::control_response::Kind as ResponseKind;
+
+/// Time between two digest exchanges, in milliseconds.
+pub const EXCHANGE_MS: u64 = 3_000;
+
+/// Failed calls in a row after which a peer is declared lost.
+const FAILURES_TO_LOST: u32 = 3;
+
+/// Time between two looks at which targets to keep, in milliseconds.
+const KEEP_REVIEW_MS: u64 = 5_000;
+
+/// One call to another balancer.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Control address of the peer.
+    pub to: SocketAddrV4,
+    /// What to ask.
+    pub request: wire::ControlRequest,
+}
+
+/// Counts of what a peer did with records.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerCounts {
+    /// Records taken as newer.
+    pub taken: u64,
+    /// Records that were not newer.
+    pub stale: u64,
+    /// Records refused for want of room.
+    pub full: u64,
+    /// Records and messages that did not parse.
+    pub malformed: u64,
+    /// Targets declared lost.
+    pub targets_lost: u64,
+    /// Balancers declared lost.
+    pub balancers_lost: u64,
+}
+
+/// Failed calls in a row to one peer.
+#[derive(Clone, Copy, Debug)]
+struct Failures {
+    count: u32,
+    since_ms: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Confirmation {
+    incarnation: u64,
+    asked: usize,
+    answered: usize,
+    silent: usize,
+}
+
+/// State of one balancer in the spreading of records.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    own: BalancerRecord,
+    seeds: Vec<SocketAddrV4>,
+    records: Records,
+    keeper: Keeper,
+    configured: bool,
+    rumors: IndexSet<RecordKey>,
+    failures: IndexMap<SocketAddrV4, Failures>,
+    confirmations: IndexMap<SocketAddrV4, Confirmation>,
+    ended_at_ms: IndexMap<RecordKey, u64>,
+    draining_until_ms: IndexMap<String, Option<u64>>,
+    zones_in_use: IndexSet<String>,
+    next_exchange_ms: u64,
+    next_review_ms: u64,
+    last_contact_ms: Option<u64>,
+    last_heard_ms: Option<u64>,
+    counts: PeerCounts,
+    keepers: KeeperCache,
+}
+
+/// Keepers by service and set, of one version of the records.
+#[derive(Clone, Debug, Default)]
+struct KeeperCache {
+    version: u64,
+    keepers: IndexMap<(String, u64), Vec<SocketAddrV4>>,
+    sets: IndexMap<String, u64>,
+}
+
+impl Peer {
+    /// Creates a balancer that knows itself and its seeds.
+    pub fn new(own: BalancerRecord, seeds: &[SocketAddrV4]) -> Peer {
+        let mut peer = Peer {
+            seeds: seeds.to_vec(),
+            records: Records::new(),
+            keeper: Keeper::new(),
+            configured: false,
+            rumors: IndexSet::new(),
+            failures: IndexMap::new(),
+            confirmations: IndexMap::new(),
+            ended_at_ms: IndexMap::new(),
+            draining_until_ms: IndexMap::new(),
+            zones_in_use: IndexSet::new(),
+            next_exchange_ms: 0,
+            next_review_ms: 0,
+            last_contact_ms: None,
+            last_heard_ms: None,
+            counts: PeerCounts::default(),
+            keepers: KeeperCache::default(),
+            own,
+        };
+        peer.take(&Record::Balancer(peer.own.clone()));
+        peer
+    }
+
+    /// Records held.
+    pub fn records(&self) -> &Records {
+        &self.records
+    }
+
+    /// Targets kept.
+    pub fn keeper(&self) -> &Keeper {
+        &self.keeper
+    }
+
+    /// Own record.
+    pub fn own(&self) -> &BalancerRecord {
+        &self.own
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> PeerCounts {
+        self.counts
+    }
+
+    /// Whether the whole configuration has been seen once.
+    pub fn is_configured(&self) -> bool {
+        self.configured
+    }
+
+    /// Time at which another balancer was last heard, in milliseconds.
+    pub fn last_contact_ms(&self) -> Option<u64> {
+        self.last_contact_ms
+    }
+
+    /// Adds an address to ask for records.
+    pub fn add_seed(&mut self, seed: SocketAddrV4) {
+        if seed != self.own.control && !self.seeds.contains(&seed) {
+            self.seeds.push(seed);
+        }
+    }
+
+    /// Takes in records without spreading them, to start from a known state.
+    pub fn preload(&mut self, records: &[Record]) {
+        self.read_from_store(records, true);
+        self.rumors.clear();
+    }
+
+    /// Takes in configuration read from the store. `whole` tells that nothing is missing.
+    pub fn read_from_store(&mut self, records: &[Record], whole: bool) {
+        for record in records {
+            self.take(record);
+        }
+        self.configured |= whole;
+    }
+
+    /// Announces the planned end of this balancer.
+    pub fn stop(&mut self) {
+        self.own.gone = true;
+        self.announce_own(self.own.sequence + 1);
+    }
+
+    /// Does what is due and returns the calls to make. `random` is a fresh random number.
+    pub fn tick(&mut self, now_ms: u64, random: u64) -> Vec<Outgoing> {
+        self.drain_zones(now_ms);
+        let mut out = self.push_rumors();
+        if now_ms >= self.next_exchange_ms {
+            self.next_exchange_ms = now_ms + EXCHANGE_MS;
+            out.extend(self.start_exchange(random));
+        }
+        if now_ms >= self.next_review_ms {
+            self.next_review_ms = now_ms + KEEP_REVIEW_MS;
+            self.review_kept(now_ms);
+            self.forget_ended(now_ms);
+        }
+        out.extend(self.doubt_silent(now_ms));
+        out
+    }
+
+    /// Answers a call.
+    pub fn answer(&mut self, now_ms: u64, request: &wire::ControlRequest) -> wire::ControlResponse {
+        self.last_heard_ms = Some(now_ms);
+        if !matches!(request.kind, Some(RequestKind::Report(_)) | None) {
+            self.last_contact_ms = Some(now_ms);
+        }
+        let kind = match &request.kind {
+            Some(RequestKind::Report(report)) => {
+                self.answer_report(now_ms, report).map(ResponseKind::Report)
+            }
+            Some(RequestKind::Rumors(rumors)) => {
+                self.take_messages(&rumors.records);
+                Some(ResponseKind::Rumors(wire::Empty {}))
+            }
+            Some(RequestKind::Digest(digest)) => {
+                self.answer_digest(digest).map(ResponseKind::Digest)
+            }
+            Some(RequestKind::Pull(pull)) => Some(ResponseKind::Pull(self.answer_pull(pull))),
+            Some(RequestKind::Confirm(confirm)) => {
+                self.answer_confirm(now_ms, confirm).map(ResponseKind::Confirm)
+            }
+            None => None,
+        };
+        if kind.is_none() {
+            self.counts.malformed += 1;
+        }
+        wire::ControlResponse { kind }
+    }
+
+    /// Takes in the answer to a call and returns the calls that follow from it.
+    pub fn answered(
+        &mut self,
+        now_ms: u64,
+        call: &Outgoing,
+        response: &wire::ControlResponse,
+    ) -> Vec<Outgoing> {
+        self.last_heard_ms = Some(now_ms);
+        self.last_contact_ms = Some(now_ms);
+        self.failures.swap_remove(&call.to);
+        match (&call.request.kind, &response.kind) {
+            (_, Some(ResponseKind::Digest(answer))) => self.after_digest(call.to, answer),
+            (_, Some(ResponseKind::Pull(rumors))) => {
+                self.take_messages(&rumors.records);
+                Vec::new()
+            }
+            (Some(RequestKind::Confirm(confirm)), Some(ResponseKind::Confirm(answer))) => {
+                self.confirmed(now_ms, confirm, Some(answer));
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Notes that a call failed, and returns the call by which the peer is tried again.
+    ///
+    /// A peer is lost after some failures in a row, unless nobody else was heard meanwhile: then
+    /// this balancer may itself be the one that is cut off.
+    pub fn failed(&mut self, now_ms: u64, call: &Outgoing) -> Vec<Outgoing> {
+        if let Some(RequestKind::Confirm(confirm)) = &call.request.kind {
+            self.confirmed(now_ms, confirm, None);
+        }
+        let fresh = Failures { count: 0, since_ms: now_ms };
+        let failures = self.failures.entry(call.to).or_insert(fresh);
+        failures.count += 1;
+        let Failures { count, since_ms } = *failures;
+        if count < FAILURES_TO_LOST {
+            let is_new = count == 1 && self.is_live(call.to);
+            return if is_new || self.is_digest(call) {
+                self.try_again(call.to)
+            } else {
+                Vec::new()
+            };
+        }
+        self.failures.swap_remove(&call.to);
+        if self.last_heard_ms.is_some_and(|heard_ms| heard_ms >= since_ms) {
+            self.declare_balancer_lost(call.to);
+        }
+        Vec::new()
+    }
+
+    /// Whether this balancer should watch the store: it is among the first `count` of its zone.
+    pub fn is_store_reader(&self, count: usize) -> bool {
+        self.zone_rank() < count
+    }
+
+    /// Place of this balancer among the live ones of its zone, from 0.
+    pub fn zone_rank(&self) -> usize {
+        let rank_of = |control: SocketAddrV4| hash64(control.to_string().as_bytes());
+        let own_rank = rank_of(self.own.control);
+        self.records
+            .live_balancers()
+            .filter(|other| other.zone == self.own.zone && rank_of(other.control) < own_rank)
+            .count()
+    }
+
+    fn others(&self) -> impl Iterator<Item = &BalancerRecord> {
+        self.records.live_balancers().filter(|other| other.control != self.own.control)
+    }
+
+    fn take(&mut self, record: &Record) -> bool {
+        match self.records.merge(record) {
+            Merge::Taken => {
+                self.counts.taken += 1;
+                self.rumors.insert(record.key());
+                self.note_zone(record);
+                self.refute(record);
+                true
+            }
+            Merge::Stale => {
+                self.counts.stale += 1;
+                false
+            }
+            Merge::Full => {
+                self.counts.full += 1;
+                false
+            }
+        }
+    }
+
+    fn take_messages(&mut self, messages: &[wire::Record]) {
+        for message in messages {
+            match message::from_message(message) {
+                Some(record) => {
+                    self.take(&record);
+                }
+                None => self.counts.malformed += 1,
+            }
+        }
+    }
+
+    /// Answers a record about this balancer itself that it did not write.
+    fn refute(&mut self, record: &Record) {
+        let Record::Balancer(other) = record else {
+            return;
+        };
+        let is_own = other.control == self.own.control;
+        if !is_own || *other == self.own {
+            return;
+        }
+        self.own.incarnation = self.own.incarnation.max(other.incarnation);
+        self.announce_own(other.sequence + 1);
+    }
+
+    fn announce_own(&mut self, sequence: u64) {
+        self.own.sequence = sequence;
+        self.own.lost = false;
+        let record = Record::Balancer(self.own.clone());
+        self.records.merge(&record);
+        self.rumors.insert(record.key());
+    }
+}
+
+/// Fingerprint of a list of addresses.
+pub fn addresses_digest(addresses: &[SocketAddrV4]) -> u64 {
+    let text: Vec<String> = addresses.iter().map(SocketAddrV4::to_string).collect();
+    hash64(text.join(" ").as_bytes())
+}
