--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -101,7 +101,7 @@
     pub slots: u32,
     #[prost(uint32, tag = "8")]
     pub connections: u32,
-    /// 0 serving, 1 cold, 2 leaving, 3 gone.
+    /// 0 serving, 1 cold, 2 leaving, 3 gone, 4 starting.
     #[prost(uint32, tag = "9")]
     pub phase: u32,
 }
