--- a/standins/src/system.rs
+++ b/standins/src/system/mod.rs
@@ -3,23 +3,22 @@
 //!
 //! Each system has its own subnet `127.N.0.0/16`, so several can run side by side.
 
+mod address;
+mod daemon;
+mod files;
+mod plan;
+
 use std::fs;
 use std::io;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use nix::sys::signal::Signal;
-use nix::sys::signal::kill;
-use nix::unistd::Pid;
 use rhubarbthread::process::keys::read_cluster_keys;
 use serde_json::Value;
 use serde_json::json;
@@ -29,10 +28,16 @@
 use crate::baseline::BaselineBalancer;
 use crate::fabric::BalancerAddress;
 use crate::fabric::Fabric;
-use crate::fabric::FabricFaults;
 use crate::fabric::FabricPlan;
 use crate::load::LoadPlan;
 use crate::store::StandinStore;
+use crate::system::address::address;
+use crate::system::address::balancer_address;
+use crate::system::address::service_address;
+pub use crate::system::daemon::Daemon;
+use crate::system::daemon::start_daemon;
+pub use crate::system::plan::ServicePlan;
+pub use crate::system::plan::SystemPlan;
 use crate::target::Target;
 use crate::target::TargetPlan;
 
@@ -66,130 +71,6 @@
     }
 }
 
-/// One service of a system.
-#[derive(Clone, Debug)]
-pub struct ServicePlan {
-    /// Name.
-    pub name: String,
-    /// Number of targets.
-    pub targets: usize,
-    /// Slots of each.
-    pub slots: u32,
-    /// Connections of each.
-    pub connections: u32,
-    /// Requests that a cold target bears.
-    pub first_limit: u32,
-    /// Answers after which it bears one more.
-    pub growth_answers: u32,
-}
-
-impl ServicePlan {
-    /// Creates a service with a moderate cold start.
-    pub fn new(name: &str, targets: usize, slots: u32) -> ServicePlan {
-        ServicePlan {
-            name: name.to_owned(),
-            targets,
-            slots,
-            connections: 2_000,
-            first_limit: 2,
-            growth_answers: 10,
-        }
-    }
-}
-
-/// A system to start.
-#[derive(Clone, Debug)]
-pub struct SystemPlan {
-    /// Second byte of all addresses.
-    pub subnet: u8,
-    /// Availability zones.
-    pub zones: Vec<String>,
-    /// Number of balancers, spread over the zones.
-    pub balancers: usize,
-    /// Services; their targets are spread over the zones.
-    pub services: Vec<ServicePlan>,
-    /// Faults of the fabric.
-    pub faults: FabricFaults,
-    /// Seed of the stand-ins.
-    pub seed: u64,
-    /// Whether agents write traces.
-    pub traces: bool,
-}
-
-impl SystemPlan {
-    /// Three zones, three balancers and a service `vypocet` of three targets.
-    pub fn new(subnet: u8) -> SystemPlan {
-        SystemPlan {
-            subnet,
-            zones: ["brno-a", "olomouc-b", "zlin-c"].map(str::to_owned).to_vec(),
-            balancers: 3,
-            services: vec![ServicePlan::new("vypocet", 3, 9)],
-            faults: FabricFaults::default(),
-            seed: 1,
-            traces: false,
-        }
-    }
-
-    /// Returns the plan with other services.
-    pub fn with_services(mut self, services: Vec<ServicePlan>) -> SystemPlan {
-        self.services = services;
-        self
-    }
-
-    /// Returns the plan with faults of the fabric.
-    pub fn with_faults(mut self, faults: FabricFaults) -> SystemPlan {
-        self.faults = faults;
-        self
-    }
-}
-
-/// A daemon that runs as a process; dropped, it is killed.
-pub struct Daemon {
-    child: Child,
-}
-
-impl Daemon {
-    /// Sends a signal.
-    pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32);
-        kill(pid, signal).expect("the process was started here and not waited for");
-    }
-
-    /// Waits for the end; `None` where it does not come in time.
-    pub async fn wait(&mut self, timeout: Duration) -> Option<i32> {
-        let until = Instant::now() + timeout;
-        while Instant::now() < until {
-            if let Some(status) = self.child.try_wait().expect("the process can be awaited") {
-                return Some(status.code().unwrap_or(-1));
-            }
-            sleep(POLL).await;
-        }
-        None
-    }
-
-    /// Process id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Ends the process at once.
-    pub fn kill(mut self) {
-        self.end();
-    }
-
-    fn end(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        self.end();
-    }
-}
-
 /// The place of one target: its agent's settings and what runs there.
 pub struct TargetPlace {
     /// Service.
@@ -519,126 +400,8 @@
     pub fn trace_path(&self, index: usize) -> PathBuf {
         self.folder.join(format!("agent-{index}.trace"))
     }
-
-    fn write_files(&self) {
-        let keys = self.folder.join("keys");
-        let output = Command::new(&self.programs.operator).arg("keys").arg(&keys).output();
-        assert!(output.expect("the operators' tool runs").status.success(), "keys are made");
-        fs::create_dir(self.services_folder()).expect("the folder is empty");
-        for index in 0..self.plan.balancers {
-            self.write(&format!("balancer-{index}.jsonc"), &self.balancer_settings(index));
-        }
-        for index in 0..self.places.len() {
-            self.write(&format!("agent-{index}.jsonc"), &self.agent_settings(index));
-        }
-        for (index, service) in self.plan.services.iter().enumerate() {
-            let name = format!("services/{}.service.jsonc", service.name);
-            self.write(&name, &service_file(service, self.service(index)));
-        }
-        let admins: Vec<String> =
-            (0..self.plan.balancers).map(|index| self.balancer_admin(index).to_string()).collect();
-        let operator = json!({"store_endpoints": [self.store_url()], "admin_seeds": admins});
-        self.write("rhubarbthread.jsonc", &operator);
-    }
-
-    fn write(&self, name: &str, value: &Value) {
-        let text = serde_json::to_string_pretty(value).expect("JSON values serialise");
-        fs::write(self.folder.join(name), text).expect("the folder is writable");
-    }
-
-    fn store_url(&self) -> String {
-        format!("http://{}", address(self.plan.subnet, 90, 1, 2379))
-    }
-
-    fn seeds(&self) -> Vec<String> {
-        let seeds = (0..self.plan.balancers).map(|index| control_address(self.plan.subnet, index));
-        seeds.take(3).map(|seed| seed.to_string()).collect()
-    }
-
-    fn common_settings(&self, zone: &str) -> Value {
-        json!({
-            "availability_zone": zone,
-            "seeds": self.seeds(),
-            "store_endpoints": [self.store_url()],
-            "tls": {
-                "authority": "keys/authority.pem",
-                "certificate": "keys/node.pem",
-                "private_key": "keys/node.key",
-            },
-            "keys_file": "keys/cluster-keys.jsonc",
-            "log": {"level": "debug"},
-        })
-    }
-
-    fn balancer_settings(&self, index: usize) -> Value {
-        let zones = &self.plan.zones;
-        let mut settings = self.common_settings(&zones[index % zones.len()]);
-        let addresses = balancer_address(self.plan.subnet, index);
-        settings["data_address"] = json!(addresses.data.to_string());
-        settings["control_address"] = json!(control_address(self.plan.subnet, index).to_string());
-        settings["admin_address"] = json!(addresses.admin.to_string());
-        settings
-    }
-
-    fn agent_settings(&self, index: usize) -> Value {
-        let mut settings = self.common_settings(&self.places[index].zone);
-        settings["data_address"] = json!(self.agent_data(index).to_string());
-        settings["admin_address"] = json!(self.agent_admin(index).to_string());
-        settings["fabric_address"] = json!(address(self.plan.subnet, 90, 2, 7000).to_string());
-        settings["caller_tls"] =
-            json!({"certificate": "keys/caller.pem", "private_key": "keys/caller.key"});
-        if self.plan.traces {
-            settings["trace_path"] = json!(self.trace_path(index));
-        }
-        settings
-    }
-}
-
-fn service_file(service: &ServicePlan, address: SocketAddr) -> Value {
-    json!({
-        "name": service.name,
-        "address": address.to_string(),
-        "cold_start": {
-            "first_limit": service.first_limit,
-            "growth_answers": service.growth_answers,
-        },
-        "stream_paths": ["/stream"],
-    })
 }
 
 fn is_log(path: &Path) -> bool {
     path.extension().is_some_and(|extension| extension == "log")
 }
-
-fn start_daemon(program: &Path, config: &Path, log: &Path) -> Daemon {
-    let mut options = fs::OpenOptions::new();
-    let log = options.create(true).append(true).open(log).expect("the folder is writable");
-    let child = Command::new(program)
-        .arg("--config")
-        .arg(config)
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(log)
-        .spawn()
-        .expect("the daemon starts");
-    Daemon { child }
-}
-
-fn address(subnet: u8, role: u8, index: u8, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(127, subnet, role, index), port)
-}
-
-fn service_address(subnet: u8, index: usize) -> SocketAddr {
-    address(subnet, 80, index as u8 + 1, 4433).into()
-}
-
-fn control_address(subnet: u8, index: usize) -> SocketAddrV4 {
-    address(subnet, 1, index as u8 + 1, 7001)
-}
-
-fn balancer_address(subnet: u8, index: usize) -> BalancerAddress {
-    BalancerAddress {
-        data: address(subnet, 1, index as u8 + 1, 7000),
-        admin: address(subnet, 1, index as u8 + 1, 7002),
-    }
-}
