A refused request goes to another target at once while the service has free slots

Change: heartbeats carry busy slots, keepers answer with the service's mean; below 80% a refusal for want of a slot says Retry-After 0.

--- a/src/process/agent_reports.rs
+++ b/src/process/agent_reports.rs
@@ -131,6 +131,7 @@
                 return false;
             }
         };
+        self.shared.metrics().reports.inc();
         self.take_report(&report, sent);
         true
     }
@@ -152,6 +153,7 @@
             let load_permille = u64::from(answer.service_load_permille);
             self.shared.apply(&Input::ServiceLoad { load_permille });
         }
+        self.shared.set_service_busy(answer.service_busy_permille);
         let known = (answer.known_incarnation, answer.known_sequence);
         let is_newer = known > (sent.incarnation, sent.sequence);
         if is_newer || answer.known_lost {
--- a/src/process/agent_shared.rs
+++ b/src/process/agent_shared.rs
@@ -43,6 +43,9 @@
 /// Time that running requests keep after the zone was taken out, in milliseconds.
 const FLOW_DRAIN_MS: u64 = 1_000;
 
+/// Mean of busy slots from which on the whole service counts as busy, in thousandths.
+const BUSY_SERVICE_PERMILLE: u32 = 800;
+
 /// Code with which a flow is closed when its availability zone goes out.
 pub const CLOSE_ZONE_OUT: u32 = 0x5a01;
 
@@ -118,6 +121,7 @@
     stopping: AtomicBool,
     configured: AtomicBool,
     refusal_flows: AtomicU32,
+    service_busy_permille: AtomicU32,
     connections: Mutex<IndexMap<usize, Connection>>,
     /// Wakes the reports after a change.
     pub changed: Notify,
@@ -158,6 +162,7 @@
                 stopping: AtomicBool::new(false),
                 configured: AtomicBool::new(false),
                 refusal_flows: AtomicU32::new(0),
+                service_busy_permille: AtomicU32::new(0),
                 connections: Mutex::default(),
                 changed: Notify::new(),
                 leaving: watch::Sender::new(false),
@@ -304,6 +309,16 @@
         self.note_change();
     }
 
+    /// Takes in the mean of busy slots over slots in the service, in thousandths.
+    pub fn set_service_busy(&self, busy_permille: u32) {
+        self.service_busy_permille.store(busy_permille, Ordering::Relaxed);
+    }
+
+    /// Whether other targets of the service probably have a free slot.
+    pub fn others_have_slots(&self) -> bool {
+        self.service_busy_permille.load(Ordering::Relaxed) < BUSY_SERVICE_PERMILLE
+    }
+
     /// Takes in a renewal; false where this process is not announced, or its term has passed: it
     /// must announce itself again.
     pub fn renew(&self, process: &str) -> bool {
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -134,6 +134,8 @@
     pub openings: ReasonCounter,
     /// Answers passed to callers, by verdict.
     pub answers: ReasonCounter,
+    /// Heartbeats that a keeper answered.
+    pub reports: Counter,
     /// Failed control calls, by reason.
     pub call_failures: ReasonCounter,
     /// Requests that run.
@@ -155,6 +157,7 @@
             received: Counter::default(),
             openings: Family::default(),
             answers: Family::default(),
+            reports: Counter::default(),
             call_failures: Family::default(),
             busy_slots: Gauge::default(),
             slot_limit: Gauge::default(),
@@ -178,6 +181,7 @@
         registry.register("received", "Datagrams received", self.received.clone());
         registry.register("openings", "Opening datagrams, by decision", self.openings.clone());
         registry.register("answers", "Answers, by verdict", self.answers.clone());
+        registry.register("reports", "Heartbeats answered", self.reports.clone());
         registry.register("call_failures", "Failed control calls", self.call_failures.clone());
         registry.register("busy_slots", "Requests that run", self.busy_slots.clone());
         registry.register("slot_limit", "Limit on requests that run", self.slot_limit.clone());
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -167,9 +167,10 @@
     }
 
     /// Returns how long the caller should wait before it asks again, in seconds; `None` where
-    /// asking again at once is right or no use.
-    pub fn retry_after_s(self) -> Option<u32> {
+    /// asking again is no use. Where other targets have free slots, it may ask for one at once.
+    pub fn retry_after_s(self, others_have_slots: bool) -> Option<u32> {
         match self {
+            Refusal::NoSlot if others_have_slots => Some(0),
             Refusal::NoSlot
             | Refusal::NoConnection
             | Refusal::TargetUnreachable
--- a/src/version/keeper.rs
+++ b/src/version/keeper.rs
@@ -101,10 +101,41 @@
     pub flows: u32,
     /// Flows that it can hold now.
     pub flow_capacity: u32,
+    /// Slots that are busy.
+    pub busy: u32,
+    /// Slots that it has.
+    pub slots: u32,
     /// Fingerprint of the configuration that the agent holds.
     pub configuration_digest: u64,
 }
 
+/// Mean load of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceLoad {
+    /// Flows over capacity, in thousandths.
+    pub flows_permille: u32,
+    /// Busy slots over slots, in thousandths.
+    pub busy_permille: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Ratio {
+    used: u64,
+    capacity: u64,
+}
+
+impl Ratio {
+    fn add(&mut self, used: u32, capacity: u32) {
+        self.used += u64::from(used);
+        self.capacity += u64::from(capacity);
+    }
+
+    fn permille(self) -> u32 {
+        let permille = (self.used * PERMILLE).checked_div(self.capacity).unwrap_or(0);
+        u32::try_from(permille).unwrap_or(u32::MAX)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Heard {
     heartbeat: Heartbeat,
@@ -134,18 +165,17 @@
         }
     }
 
-    /// Mean of flows over capacity in a service, in thousandths, over the targets heard lately.
-    pub fn service_load_permille(&self, service: &str, now_ms: u64) -> u64 {
-        let mut flows = 0;
-        let mut capacity = 0;
-        for heard in self.heard.values() {
-            let lately = now_ms.saturating_sub(heard.at_ms) < SILENCE_MS;
-            if lately && heard.heartbeat.service == service {
-                flows += u64::from(heard.heartbeat.flows);
-                capacity += u64::from(heard.heartbeat.flow_capacity);
-            }
+    /// Mean load of a service over the targets heard lately.
+    pub fn service_load(&self, service: &str, now_ms: u64) -> ServiceLoad {
+        let lately = |heard: &&Heard| now_ms.saturating_sub(heard.at_ms) < SILENCE_MS;
+        let heartbeats = self.heard.values().filter(lately).map(|heard| &heard.heartbeat);
+        let mut flows = Ratio::default();
+        let mut busy = Ratio::default();
+        for heartbeat in heartbeats.filter(|heartbeat| heartbeat.service == service) {
+            flows.add(heartbeat.flows, heartbeat.flow_capacity);
+            busy.add(heartbeat.busy, heartbeat.slots);
         }
-        (flows * PERMILLE).checked_div(capacity).unwrap_or(0)
+        ServiceLoad { flows_permille: flows.permille(), busy_permille: busy.permille() }
     }
 
     /// Targets that have been silent for [`SILENCE_MS`], with the incarnation last heard.
--- a/src/version/peer/keeping.rs
+++ b/src/version/peer/keeping.rs
@@ -73,6 +73,8 @@
             service: target.service.clone(),
             flows: report.flows,
             flow_capacity: target.connections,
+            busy: report.busy_slots,
+            slots: target.slots,
             configuration_digest: report.configuration_digest,
         };
         if target.phase == Phase::Gone {
@@ -81,10 +83,11 @@
             self.keeper.hear(target.data, heartbeat, now_ms);
         }
         self.take(&Record::Target(target.clone()));
+        let load = self.keeper.service_load(&target.service, now_ms);
         let mut answer = wire::ReportAnswer {
             configured: self.configured,
-            service_load_permille: self.keeper.service_load_permille(&target.service, now_ms)
-                as u32,
+            service_load_permille: load.flows_permille,
+            service_busy_permille: load.busy_permille,
             ..Default::default()
         };
         if let Some(known) = self.records.target(target.data) {
@@ -138,6 +141,8 @@
                 service: target.service.clone(),
                 flows: 0,
                 flow_capacity: 0,
+                busy: 0,
+                slots: 0,
                 configuration_digest: 0,
             };
             self.keeper.hear(target.data, heartbeat, now_ms);
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -203,6 +203,9 @@
     pub known_sequence: u64,
     #[prost(bool, tag = "7")]
     pub known_lost: bool,
+    /// Mean of busy slots over slots in the service, in thousandths.
+    #[prost(uint32, tag = "8")]
+    pub service_busy_permille: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Rumors {
--- a/tests/failures_requests.rs
+++ b/tests/failures_requests.rs
@@ -87,14 +87,21 @@
 async fn refused_at_once() {
     let services = vec![ServicePlan::new("vypocet", 1, 1)];
     let (system, _folder) = support::start(SystemPlan::new(62).with_services(services)).await;
+    let admin = system.agent_admin(0);
     let busy = Arc::new(caller(&system));
     let running = tokio::spawn({
         let busy = Arc::clone(&busy);
-        async move { busy.call(&Call::new("/work?id=a&ms=2000", Duration::from_secs(5))).await }
+        async move { busy.call(&Call::new("/work?id=a&ms=4000", Duration::from_secs(9))).await }
     });
     let target = Arc::clone(system.target(0));
     let timeout = Duration::from_secs(5);
     system.wait_for("it runs", timeout, async |_: &System| target.stats().busy == 1).await;
+    // One more heartbeat tells the agent that the whole service is busy.
+    let before = system.metric(admin, "rhubarbthread_reports_total").await;
+    let is_told = async |system: &System| {
+        system.metric(admin, "rhubarbthread_reports_total").await >= before + 2.0
+    };
+    system.wait_for("two heartbeats", timeout, is_told).await;
     let other = caller(&system);
     let start = Instant::now();
     let refused = other.call(&Call::new("/work?id=b&ms=1", Duration::from_millis(900))).await;
