--- a/src/connection/openings.rs
+++ b/src/connection/openings.rs
@@ -61,6 +61,7 @@
     remembered: IndexMap<OpeningKey, Remembered>,
     service_load_permille: Option<u64>,
     first_offers: u64,
+    closings: u64,
 }
 
 impl Openings {
@@ -73,6 +74,12 @@
     pub fn set_service_load(&mut self, load_permille: u64) {
         self.service_load_permille = Some(load_permille);
         self.first_offers = 0;
+        self.closings = 0;
+    }
+
+    /// Notes that a flow ended here.
+    pub fn flow_ended(&mut self) {
+        self.closings += 1;
     }
 
     /// Decides on one opening. `position` is the place of this agent in a chain of `chain_length`.
@@ -135,13 +142,15 @@
     }
 
     /// Whether one more flow would put this target above the service's mean load. Since the report
-    /// the mean has grown by the first offers seen here: hashing gives each target its fair share.
+    /// the mean has grown by the first offers seen here, as hashing gives each target its fair share,
+    /// and has shrunk by about as many flows as ended here.
     fn is_above_mean(&self, admission: &Admission) -> bool {
         let Some(reported_permille) = self.service_load_permille else {
             return false;
         };
         let capacity = u64::from(admission.capacity().connections.max(1));
-        let mean_flows = reported_permille * capacity / PERMILLE + self.first_offers;
+        let grown = reported_permille * capacity / PERMILLE + self.first_offers;
+        let mean_flows = grown.saturating_sub(self.closings);
         let bound = mean_flows + mean_flows * LOAD_MARGIN_PERCENT / 100 + 1;
         u64::from(admission.flows()) + 1 > bound
     }
--- a/src/process/agent_state.rs
+++ b/src/process/agent_state.rs
@@ -201,7 +201,10 @@
                 return Decision::Opening(decision);
             }
             Input::FlowStarted { key } => return Decision::Flow(self.flow_started(key)),
-            Input::FlowEnded => self.admission.close_flow(),
+            Input::FlowEnded => {
+                self.admission.close_flow();
+                self.openings.flow_ended();
+            }
             Input::TicketWanted => return Decision::Ticket(self.tickets.issue()),
             Input::Request { idempotent, ticket } => return self.request(*idempotent, *ticket),
             Input::NotSent { ticket } => {
--- a/src/process/balancer.rs
+++ b/src/process/balancer.rs
@@ -45,7 +45,6 @@
 use crate::version::peer::Peer;
 use crate::version::peer::PeerCounts;
 use crate::version::record::BalancerRecord;
-use crate::version::record::Record;
 use crate::version::table::Table;
 use crate::wire::ControlRequest;
 use crate::wire::ControlResponse;
@@ -138,10 +137,8 @@
         let now_ms = self.clock.now_ms();
         let store_ms = self.store_answer_ms.load(Ordering::Relaxed);
         self.with_peer(|peer| {
-            let knows_others = peer.records().iter().any(|record| match record {
-                Record::Balancer(other) => other.control != self.settings.control_address,
-                _ => false,
-            });
+            let own = self.settings.control_address;
+            let knows_others = peer.records().balancers().any(|other| other.control != own);
             let last_ms = store_ms.max(peer.last_contact_ms().unwrap_or(0));
             knows_others && now_ms.saturating_sub(last_ms) >= ISOLATED_MS
         })
--- a/src/version/keeper.rs
+++ b/src/version/keeper.rs
@@ -34,18 +34,28 @@
 /// The sets of targets that share their keepers, in one version of the records.
 #[derive(Clone, Debug)]
 pub struct KeeperSets<'a> {
-    records: &'a Records,
+    balancers: Vec<SocketAddrV4>,
+    candidates: Vec<Candidate<'a>>,
     target_counts: IndexMap<&'a str, usize>,
 }
 
 impl<'a> KeeperSets<'a> {
-    /// Counts the targets of each service.
+    /// Counts the targets of each service and lists the live balancers.
     pub fn new(records: &'a Records) -> KeeperSets<'a> {
         let mut target_counts = IndexMap::new();
         for target in records.targets().filter(|target| takes_new_flows(target)) {
             *target_counts.entry(target.service.as_str()).or_insert(0) += 1;
         }
-        KeeperSets { records, target_counts }
+        let candidate = |balancer: &'a BalancerRecord| Candidate {
+            id: hash64(balancer.control.to_string().as_bytes()),
+            weight: 1,
+            zone: &balancer.zone,
+        };
+        KeeperSets {
+            balancers: records.live_balancers().map(|balancer| balancer.control).collect(),
+            candidates: records.live_balancers().map(candidate).collect(),
+            target_counts,
+        }
     }
 
     /// Number of the set that a target is in, within its service.
@@ -68,15 +78,8 @@
     /// Keepers of a set, best first, by control address.
     pub fn keepers(&self, service: &str, set: u64) -> Vec<SocketAddrV4> {
         let key = hash64(format!("{service} {set}").as_bytes());
-        let balancers: Vec<&BalancerRecord> = self.records.live_balancers().collect();
-        let candidate = |balancer: &&'a BalancerRecord| Candidate {
-            id: hash64(balancer.control.to_string().as_bytes()),
-            weight: 1,
-            zone: &balancer.zone,
-        };
-        let candidates: Vec<Candidate<'_>> = balancers.iter().map(candidate).collect();
-        let chosen = rendezvous::choose(key, &candidates, KEEPERS);
-        chosen.into_iter().map(|index| balancers[index].control).collect()
+        let chosen = rendezvous::choose(key, &self.candidates, KEEPERS);
+        chosen.into_iter().map(|index| self.balancers[index]).collect()
     }
 }
 
--- a/src/version/peer/exchange.rs
+++ b/src/version/peer/exchange.rs
@@ -14,7 +14,6 @@
 use crate::version::peer::Outgoing;
 use crate::version::peer::Peer;
 use crate::version::record::BalancerRecord;
-use crate::version::record::Record;
 use crate::version::record::RecordKey;
 use crate::version::rendezvous;
 use crate::version::rendezvous::Candidate;
@@ -107,10 +106,8 @@
         if !go_far && !neighbours.is_empty() {
             return pick(&neighbours);
         }
-        let known = self.records.iter().filter_map(|record| match record {
-            Record::Balancer(other) if !other.gone => Some(other.control),
-            _ => None,
-        });
+        let known = self.records.balancers().filter(|other| !other.gone);
+        let known = known.map(|other| other.control);
         let far: IndexSet<SocketAddrV4> = known
             .chain(self.seeds.iter().copied())
             .filter(|control| *control != self.own.control)
--- a/src/version/peer/keeping.rs
+++ b/src/version/peer/keeping.rs
@@ -17,6 +17,7 @@
 use crate::version::peer::addresses_digest;
 use crate::version::record::Phase;
 use crate::version::record::Record;
+use crate::version::record::RecordKey;
 use crate::version::records::configuration_digest;
 use crate::wire;
 use crate::wire::control_request::Kind as RequestKind;
@@ -49,17 +50,14 @@
     /// Fingerprint of the configuration that the agent of a known target needs.
     pub fn agent_configuration_digest(&self, target: SocketAddrV4) -> Option<u64> {
         let target = self.records.target(target)?;
-        Some(configuration_digest(self.agent_configuration(&target.service).into_iter()))
+        Some(configuration_digest(self.agent_configuration(&target.service).iter()))
     }
 
     /// Configuration that an agent of a service needs: the service and all zones.
-    pub(super) fn agent_configuration(&self, service: &str) -> Vec<&Record> {
-        let needed = |record: &&Record| match record {
-            Record::Service(record) => record.name == service,
-            Record::Zone(_) => true,
-            _ => false,
-        };
-        self.records.iter().filter(needed).collect()
+    fn agent_configuration(&self, service: &str) -> Vec<Record> {
+        let service = self.records.get(&RecordKey::Service(service.to_owned()));
+        let zones = self.records.zones().cloned().map(Record::Zone);
+        service.cloned().into_iter().chain(zones).collect()
     }
 
     pub(super) fn answer_report(
@@ -100,8 +98,8 @@
             answer.keepers = keepers.into_iter().map(to_hop).collect();
         }
         let needed = self.agent_configuration(&target.service);
-        if configuration_digest(needed.iter().copied()) != report.configuration_digest {
-            answer.configuration = needed.into_iter().map(message::to_message).collect();
+        if configuration_digest(needed.iter()) != report.configuration_digest {
+            answer.configuration = needed.iter().map(message::to_message).collect();
         }
         Some(answer)
     }
@@ -147,7 +145,6 @@
             };
             self.keeper.hear(target.data, heartbeat, now_ms);
         }
-        self.keeper.expire(now_ms);
     }
 
     /// Asks the other keepers about targets that have fallen silent.
@@ -175,10 +172,7 @@
         if now_ms.saturating_sub(heard_ms) >= SILENCE_MS {
             return false;
         }
-        let known = self.records.iter().filter(|record| match record {
-            Record::Balancer(balancer) => !balancer.gone,
-            _ => false,
-        });
+        let known = self.records.balancers().filter(|balancer| !balancer.gone);
         let is_majority = self.records.live_balancers().count() * 2 > known.count();
         let contact_ms = self.last_contact_ms.unwrap_or(0);
         is_majority || now_ms.saturating_sub(contact_ms) >= MINORITY_SILENCE_MS
--- a/src/version/peer/mod.rs
+++ b/src/version/peer/mod.rs
@@ -35,7 +35,7 @@
 const FAILURES_TO_LOST: u32 = 3;
 
 /// Time between two looks at which targets to keep, in milliseconds.
-const KEEP_REVIEW_MS: u64 = 5_000;
+const KEEP_REVIEW_MS: u64 = 10_000;
 
 /// One call to another balancer.
 #[derive(Clone, Debug)]
@@ -94,6 +94,7 @@
     zones_in_use: IndexSet<String>,
     next_exchange_ms: u64,
     next_review_ms: u64,
+    reviewed_version: u64,
     last_contact_ms: Option<u64>,
     last_heard_ms: Option<u64>,
     counts: PeerCounts,
@@ -124,6 +125,7 @@
             zones_in_use: IndexSet::new(),
             next_exchange_ms: 0,
             next_review_ms: 0,
+            reviewed_version: 0,
             last_contact_ms: None,
             last_heard_ms: None,
             counts: PeerCounts::default(),
@@ -201,7 +203,11 @@
         }
         if now_ms >= self.next_review_ms {
             self.next_review_ms = now_ms + KEEP_REVIEW_MS;
-            self.review_kept(now_ms);
+            if self.reviewed_version != self.records.version() {
+                self.reviewed_version = self.records.version();
+                self.review_kept(now_ms);
+            }
+            self.keeper.expire(now_ms);
             self.forget_ended(now_ms);
         }
         out.extend(self.doubt_silent(now_ms));
--- a/src/version/records.rs
+++ b/src/version/records.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::version::digest::Digest;
 use crate::version::digest::Summary;
@@ -36,6 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Records {
     records: IndexMap<RecordKey, Record>,
+    zone_keys: IndexSet<RecordKey>,
+    balancer_keys: IndexSet<RecordKey>,
     digest: Digest,
     version: u64,
     configuration_revision: u64,
@@ -69,6 +72,7 @@
         }
         if let Some(record) = self.records.swap_remove(key) {
             self.digest.remove(key.hash(), record.order());
+            self.balancer_keys.swap_remove(key);
             self.version += 1;
         }
     }
@@ -93,8 +97,8 @@
 
     /// Returns all availability zones that operators ever changed.
     pub fn zones(&self) -> impl Iterator<Item = &ZoneRecord> {
-        self.iter().filter_map(|record| match record {
-            Record::Zone(zone) => Some(zone),
+        self.zone_keys.iter().filter_map(|key| match self.get(key) {
+            Some(Record::Zone(zone)) => Some(zone),
             _ => None,
         })
     }
@@ -109,8 +113,13 @@
 
     /// Returns the balancers that are believed alive.
     pub fn live_balancers(&self) -> impl Iterator<Item = &BalancerRecord> {
-        self.iter().filter_map(|record| match record {
-            Record::Balancer(balancer) if !balancer.lost && !balancer.gone => Some(balancer),
+        self.balancers().filter(|balancer| !balancer.lost && !balancer.gone)
+    }
+
+    /// Returns all balancers, lost and gone ones too.
+    pub fn balancers(&self) -> impl Iterator<Item = &BalancerRecord> {
+        self.balancer_keys.iter().filter_map(|key| match self.get(key) {
+            Some(Record::Balancer(balancer)) => Some(balancer),
             _ => None,
         })
     }
@@ -190,6 +199,14 @@
             self.configuration_revision = self.configuration_revision.max(revision);
         }
         self.version += 1;
+        let index = match key {
+            RecordKey::Zone(_) => Some(&mut self.zone_keys),
+            RecordKey::Balancer(_) => Some(&mut self.balancer_keys),
+            _ => None,
+        };
+        if let Some(index) = index {
+            index.insert(key.clone());
+        }
         self.records.insert(key, record);
     }
 }
--- a/standins/src/measure/broken_flows.rs
+++ b/standins/src/measure/broken_flows.rs
@@ -40,10 +40,12 @@
                 "seed": seed,
                 "streams": STREAMS,
                 "whole": ours.whole,
-                "broken": ours.requests - ours.whole,
+                "broken": ours.broken_flows,
+                "refused_not_run": ours.not_run,
                 "reasons": ours.reasons,
                 "baseline_plain_hash_whole": baseline.whole,
-                "baseline_plain_hash_broken": baseline.requests - baseline.whole,
+                "baseline_plain_hash_broken": baseline.broken_flows,
+                "baseline_plain_hash_refused_not_run": baseline.not_run,
                 "target": 0,
             }));
         }
