Requests wait up to 100 ms for a slot, as few as there are slots

Change: a request that finds no slot waits up to 100 ms in a queue as long as the limit; a full queue refuses at once.

--- a/src/process/agent_shared.rs
+++ b/src/process/agent_shared.rs
@@ -127,6 +127,9 @@
     pub changed: Notify,
     /// Tells flows that the target takes no new work.
     pub leaving: watch::Sender<bool>,
+    /// Wakes a request that waits for a slot.
+    pub slot_freed: Notify,
+    waiting: AtomicU32,
     /// Connections to the target.
     pub upstream: Upstream,
 }
@@ -165,6 +168,8 @@
                 service_busy_permille: AtomicU32::new(0),
                 connections: Mutex::default(),
                 changed: Notify::new(),
+                slot_freed: Notify::new(),
+                waiting: AtomicU32::new(0),
                 leaving: watch::Sender::new(false),
                 upstream: Upstream::new(Arc::new(on_loss)),
             }
@@ -177,6 +182,19 @@
         self.leave();
     }
 
+    /// Takes a place among the requests that wait for a slot: as many as the limit allows to run.
+    /// Returns false, and takes none, where all are taken.
+    pub fn begin_wait(&self) -> bool {
+        let most = self.with_state(|state| state.admission().limit());
+        let take = |waiting: u32| (waiting < most).then_some(waiting + 1);
+        self.waiting.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+    }
+
+    /// Gives the place back.
+    pub fn end_wait(&self) {
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Takes one of `most` places for flows that are taken only to be refused; the caller of this
     /// gives it back by [`AgentShared::end_refusal_flow`] in any case.
     pub(super) fn begin_refusal_flow(&self, most: u32) -> bool {
@@ -239,6 +257,9 @@
         // The time is taken under the lock, so that a trace is in the order of its times.
         let at_ms = self.now_ms();
         let decision = state.apply(at_ms, input);
+        if matches!(input, Input::Ended { .. } | Input::NotSent { .. } | Input::StreamStarted) {
+            self.slot_freed.notify_one();
+        }
         if self.trace.is_on() {
             self.trace.write(&TraceLine { at_ms, input, decision: &decision });
         }
--- a/src/process/request_handler.rs
+++ b/src/process/request_handler.rs
@@ -63,6 +63,9 @@
 /// Longest wait for a caller to close a flow whose requests have all ended.
 const LINGER: Duration = Duration::from_secs(3);
 
+/// Longest wait for a slot. A burst passes in this time; an overload does not, and is refused.
+const SLOT_WAIT: Duration = Duration::from_millis(100);
+
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -187,8 +190,7 @@
             return;
         }
     };
-    let input = Input::Request { idempotent: arrived.idempotent, ticket: arrived.ticket };
-    match shared.apply(&input) {
+    match admit(shared, &arrived).await {
         Decision::Run => {
             let _running = Running::new();
             let ticket = arrived.ticket;
@@ -210,6 +212,24 @@
     }
 }
 
+/// Asks for a slot, and waits a moment for one where as few wait as there are slots.
+async fn admit(shared: &AgentShared, arrived: &Arrived) -> Decision {
+    let input = Input::Request { idempotent: arrived.idempotent, ticket: arrived.ticket };
+    let until = arrived.deadline.min(Instant::now() + SLOT_WAIT);
+    let mut decision = shared.apply(&input);
+    if decision != Decision::Refuse(Refusal::NoSlot) || !shared.begin_wait() {
+        return decision;
+    }
+    while decision == Decision::Refuse(Refusal::NoSlot) {
+        if timeout_at(until, shared.slot_freed.notified()).await.is_err() {
+            break;
+        }
+        decision = shared.apply(&input);
+    }
+    shared.end_wait();
+    decision
+}
+
 /// Tells the decisions how a request ended, at the latest when it is dropped.
 pub struct Ending {
     shared: Arc<AgentShared>,
