--- a/src/process/agent_reports.rs
+++ b/src/process/agent_reports.rs
@@ -21,6 +21,7 @@
 use crate::process::store::Store;
 use crate::version::message;
 use crate::version::peer::addresses_digest;
+use crate::version::record::Record;
 use crate::version::record::TargetRecord;
 use crate::version::records::configuration_digest;
 use crate::wire::ControlRequest;
@@ -190,7 +191,7 @@
 ) -> ControlRequest {
     let digest = shared.with_records(|records| {
         let needed = records.iter().filter(|held| match held {
-            crate::version::record::Record::Service(service) => service.name == record.service,
+            Record::Service(service) => service.name == record.service,
             _ => true,
         });
         configuration_digest(needed)
--- a/src/process/agent_socket.rs
+++ b/src/process/agent_socket.rs
@@ -5,11 +5,13 @@
 use std::io;
 use std::io::IoSliceMut;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use quinn::AsyncUdpSocket;
 use quinn::ConnectionId;
@@ -280,18 +282,12 @@
         TAG_BYTES
     }
 
-    fn cid_lifetime(&self) -> Option<std::time::Duration> {
+    fn cid_lifetime(&self) -> Option<Duration> {
         None
     }
 }
 
 /// Returns the tag of an agent.
-pub fn make_tag(
-    agent: std::net::SocketAddrV4,
-    incarnation: u64,
-    service: u16,
-    zone: u16,
-    nonce: u32,
-) -> Tag {
+pub fn make_tag(agent: SocketAddrV4, incarnation: u64, service: u16, zone: u16, nonce: u32) -> Tag {
     Tag { agent, incarnation: incarnation_fingerprint(incarnation), service, zone, nonce }
 }
--- a/src/process/balancer.rs
+++ b/src/process/balancer.rs
@@ -34,6 +34,7 @@
 use crate::process::forwarder::SharedTable;
 use crate::process::keys::read_cluster_keys;
 use crate::process::metrics::BalancerMetrics;
+use crate::process::metrics::ReasonLabel;
 use crate::process::metrics::count;
 use crate::process::settings::BalancerSettings;
 use crate::process::signals;
@@ -120,7 +121,7 @@
             ("balancer-lost", after.balancers_lost - before.balancers_lost),
         ];
         for (reason, change) in changes.into_iter().filter(|(_, change)| *change > 0) {
-            let label = crate::process::metrics::ReasonLabel { reason };
+            let label = ReasonLabel { reason };
             self.metrics.records.get_or_create(&label).inc_by(change);
         }
         if after.targets_lost > before.targets_lost {
--- a/tests/failures_requests.rs
+++ b/tests/failures_requests.rs
@@ -3,8 +3,6 @@
 
 mod support;
 
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,8 +11,6 @@
 use http::Method;
 use rhubarbthread::caller::Call;
 use rhubarbthread::caller::Caller;
-use rhubarbthread::caller::CallerSettings;
-use rhubarbthread::process::tls;
 use rhubarbthread::request::verdict::Verdict;
 use rhubarbthread_standins::fabric::FabricFaults;
 use rhubarbthread_standins::load::Load;
@@ -35,14 +31,7 @@
 const REFUSAL_AT_ONCE: Duration = Duration::from_millis(500);
 
 fn caller(system: &System) -> Caller {
-    Caller::new(CallerSettings {
-        service: system.service(0),
-        server_name: "localhost".to_owned(),
-        client: tls::caller_client_config(&system.authority()).expect("authority is right"),
-        local: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        retry_budget_percent: 10,
-    })
-    .expect("a local socket opens")
+    support::caller(system, 10)
 }
 
 fn goodput(report: &LoadReport) -> f64 {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,8 +5,13 @@
 pub mod explore;
 
 use std::future::Future;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use rhubarbthread::caller::Caller;
+use rhubarbthread::caller::CallerSettings;
+use rhubarbthread::process::tls;
 use rhubarbthread_standins::system::Programs;
 use rhubarbthread_standins::system::System;
 use rhubarbthread_standins::system::SystemPlan;
@@ -53,6 +58,18 @@
     (system, folder)
 }
 
+/// A caller of the first service of a system.
+pub fn caller(system: &System, retry_budget_percent: u32) -> Caller {
+    Caller::new(CallerSettings {
+        service: system.service(0),
+        server_name: "localhost".to_owned(),
+        client: tls::caller_client_config(&system.authority()).expect("authority is right"),
+        local: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        retry_budget_percent,
+    })
+    .expect("a local socket opens")
+}
+
 /// Names each case of a table: `cases! { name: expression, ... }` makes one test of each.
 #[macro_export]
 macro_rules! cases {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -7,8 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -18,12 +16,10 @@
 use http::Method;
 use rhubarbthread::caller::Call;
 use rhubarbthread::caller::Caller;
-use rhubarbthread::caller::CallerSettings;
 use rhubarbthread::process::agent_state::AgentState;
 use rhubarbthread::process::agent_state::Decision;
 use rhubarbthread::process::agent_state::Input;
 use rhubarbthread::process::agent_state::TICKET_BOUNDS;
-use rhubarbthread::process::tls;
 use rhubarbthread_standins::system::ServicePlan;
 use rhubarbthread_standins::system::System;
 use rhubarbthread_standins::system::SystemPlan;
@@ -50,14 +46,7 @@
 }
 
 fn caller(system: &System) -> Caller {
-    Caller::new(CallerSettings {
-        service: system.service(0),
-        server_name: "localhost".to_owned(),
-        client: tls::caller_client_config(&system.authority()).expect("authority is right"),
-        local: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        retry_budget_percent: 0,
-    })
-    .expect("a local socket opens")
+    support::caller(system, 0)
 }
 
 async fn burst(system: &System, calls: usize) {
