A balancer keeps only the targets it is a keeper of

Found by listing the busiest nodes: the three seeds, messages of 15 bytes. Ruled out: heartbeats (a seed with no target kept sent as much), exchanges.

--- a/src/version/peer/keeping.rs
+++ b/src/version/peer/keeping.rs
@@ -75,12 +75,14 @@
             slots: target.slots,
             configuration_digest: report.configuration_digest,
         };
-        if target.phase == Phase::Gone {
-            self.keeper.release(target.data);
-        } else {
+        self.take(&Record::Target(target.clone()));
+        let keepers = self.keepers_of(&target.service, target.data);
+        // A target that reports here only to learn its keepers would soon be doubted in vain.
+        if target.phase != Phase::Gone && keepers.contains(&self.own.control) {
             self.keeper.hear(target.data, heartbeat, now_ms);
+        } else {
+            self.keeper.release(target.data);
         }
-        self.take(&Record::Target(target.clone()));
         let load = self.keeper.service_load(&target.service, now_ms);
         let mut answer = wire::ReportAnswer {
             configured: self.configured,
@@ -93,7 +95,6 @@
             answer.known_sequence = known.sequence;
             answer.known_lost = known.lost;
         }
-        let keepers = self.keepers_of(&target.service, target.data);
         if addresses_digest(&keepers) != report.keepers_digest {
             answer.keepers = keepers.into_iter().map(to_hop).collect();
         }
