--- a/src/version/keeper.rs
+++ b/src/version/keeper.rs
@@ -87,12 +87,6 @@
     targets.div_ceil(TARGETS_PER_SET).max(1) as u64
 }
 
-/// Chooses the keepers of a target, best first, by control address.
-pub fn keepers_of(records: &Records, service: &str, target: SocketAddrV4) -> Vec<SocketAddrV4> {
-    let sets = KeeperSets::new(records);
-    sets.keepers(service, sets.set_of(service, target))
-}
-
 /// Load of one target at its last heartbeat.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Heartbeat {
--- a/standins/src/measure/imbalance.rs
+++ b/standins/src/measure/imbalance.rs
@@ -12,6 +12,7 @@
 use crate::measure::deployment::DEPLOYMENTS;
 use crate::measure::deployment::Deployment;
 use crate::measure::report::Report;
+use crate::measure::report::round;
 use crate::system::Programs;
 use crate::system::System;
 
@@ -144,7 +145,3 @@
     let mean = loads.iter().sum::<f64>() / loads.len() as f64;
     loads.iter().copied().fold(0.0, f64::max) / mean.max(f64::MIN_POSITIVE)
 }
-
-fn round(value: f64) -> f64 {
-    (value * 1000.0).round() / 1000.0
-}
--- a/standins/src/measure/report.rs
+++ b/standins/src/measure/report.rs
@@ -91,3 +91,8 @@
     area.present()?;
     Ok(())
 }
+
+/// Rounds a ratio to thousandths.
+pub fn round(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
--- a/standins/src/measure/zone.rs
+++ b/standins/src/measure/zone.rs
@@ -14,6 +14,7 @@
 use crate::measure::report::Plot;
 use crate::measure::report::Report;
 use crate::measure::report::Series;
+use crate::measure::report::round;
 use crate::system::Programs;
 use crate::system::System;
 
@@ -160,7 +161,3 @@
 fn mean(answers: &[u64]) -> f64 {
     answers.iter().sum::<u64>() as f64 / answers.len().max(1) as f64
 }
-
-fn round(value: f64) -> f64 {
-    (value * 1000.0).round() / 1000.0
-}
--- a/standins/src/spread.rs
+++ b/standins/src/spread.rs
@@ -43,7 +43,7 @@
 enum Event {
     Tick(usize),
     Report(usize),
-    Arrive { from: usize, call: Outgoing, follows: bool },
+    Arrive { from: usize, call: Outgoing },
     Answer { to: usize, call: Outgoing, response: wire::ControlResponse },
     Fail { to: usize, call: Outgoing },
 }
@@ -247,7 +247,7 @@
         match event {
             Event::Tick(index) => self.tick(index),
             Event::Report(index) => self.report(index),
-            Event::Arrive { from, call, follows } => self.arrive(from, call, follows),
+            Event::Arrive { from, call } => self.arrive(from, call),
             Event::Answer { to, call, response } => {
                 let size = response.encoded_len() as u64 + MESSAGE_OVERHEAD_BYTES;
                 self.traffic[to].received_bytes += size;
@@ -276,14 +276,14 @@
             let size = call.request.encoded_len() as u64 + MESSAGE_OVERHEAD_BYTES;
             self.traffic[from].sent_bytes += size;
             self.traffic[from].sent_messages += 1;
-            self.push(self.now_ms + self.delay_ms, Event::Arrive { from, call, follows: true });
+            self.push(self.now_ms + self.delay_ms, Event::Arrive { from, call });
         }
     }
 
-    fn arrive(&mut self, from: usize, call: Outgoing, follows: bool) {
+    fn arrive(&mut self, from: usize, call: Outgoing) {
         let to = index_of(call.to);
         let reachable = to < self.peers.len() && self.running[to] && !(self.cut)(from, to);
-        if !reachable || !follows {
+        if !reachable {
             self.push(self.now_ms + CALL_TIMEOUT_MS, Event::Fail { to: from, call });
             return;
         }
