--- /dev/null
+++ b/src/connection/found_flows.rs
@@ -0,0 +1,98 @@
+//! A balancer's memory of which agent holds a flow.
+//!
+//! It saves hops and is never needed: a flow that is not found here is searched for. Bound:
+//! [`MAX_FOUND_FLOWS`] entries of some 60 bytes.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use crate::connection::flow_key::FlowKey;
+
+/// Most flows that are remembered; 16 million flows over 670 balancers are 24,000 each, and a
+/// balancer may stand in for several others.
+pub const MAX_FOUND_FLOWS: usize = 131_072;
+
+/// Searches for one flow within [`SEARCH_WINDOW_MS`] while some agent does not answer: each sends
+/// its segment to targets that do not hold the flow, and the platform takes three in two seconds for
+/// a flow that was lost.
+const MAX_SEARCHES: u32 = 2;
+
+/// Time in which searches are counted, in milliseconds: the platform's two seconds and a margin.
+const SEARCH_WINDOW_MS: u64 = 2_200;
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    holder: Option<SocketAddrV4>,
+    used_ms: u64,
+    searches: u32,
+    first_search_ms: u64,
+}
+
+/// Which agent holds which flow.
+#[derive(Debug, Default)]
+pub struct FoundFlows {
+    entries: IndexMap<FlowKey, Entry>,
+}
+
+impl FoundFlows {
+    /// Remembers nothing yet.
+    pub fn new() -> FoundFlows {
+        FoundFlows::default()
+    }
+
+    /// Flows that are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The agent that holds the flow, as far as this balancer knows.
+    pub fn holder(&mut self, flow: &FlowKey, now_ms: u64) -> Option<SocketAddrV4> {
+        let entry = self.entries.get_mut(flow)?;
+        entry.used_ms = now_ms;
+        entry.holder
+    }
+
+    /// Notes that an agent holds the flow.
+    pub fn found(&mut self, flow: FlowKey, holder: SocketAddrV4, now_ms: u64) {
+        let entry = self.entry(flow, now_ms);
+        entry.holder = Some(holder);
+        entry.searches = 0;
+    }
+
+    /// Forgets where the flow is.
+    pub fn forget(&mut self, flow: &FlowKey) {
+        self.entries.swap_remove(flow);
+    }
+
+    /// Notes a search, and says whether it is one too many while an agent is silent.
+    pub fn may_search(&mut self, flow: FlowKey, now_ms: u64) -> bool {
+        let entry = self.entry(flow, now_ms);
+        if now_ms.saturating_sub(entry.first_search_ms) > SEARCH_WINDOW_MS {
+            entry.first_search_ms = now_ms;
+            entry.searches = 0;
+        }
+        entry.searches += 1;
+        entry.searches <= MAX_SEARCHES
+    }
+
+    /// Drops flows that no segment has used for `idle_ms`.
+    pub fn expire(&mut self, now_ms: u64, idle_ms: u64) {
+        self.entries.retain(|_, entry| now_ms.saturating_sub(entry.used_ms) <= idle_ms);
+    }
+
+    fn entry(&mut self, flow: FlowKey, now_ms: u64) -> &mut Entry {
+        if self.entries.len() >= MAX_FOUND_FLOWS && !self.entries.contains_key(&flow) {
+            self.entries.swap_remove_index(0);
+        }
+        let fresh = Entry { holder: None, used_ms: now_ms, searches: 0, first_search_ms: now_ms };
+        let entry = self.entries.entry(flow).or_insert(fresh);
+        entry.used_ms = now_ms;
+        entry
+    }
+}
--- /dev/null
+++ b/src/connection/held_flows.rs
@@ -0,0 +1,156 @@
+//! The flows that an agent sees at its target, from the segments that it passes both ways.
+//!
+//! Flows and busy slots are counted here for placing. Nothing is decided by the table that must be
+//! right: the target itself gives back what it does not hold.
+
+use indexmap::IndexMap;
+
+use crate::connection::flow_key::FlowKey;
+use crate::connection::segment::Segment;
+
+/// How long an ended flow is remembered, in milliseconds: late copies of its last segments, sent again
+/// for up to 1.6 s, are not searched for elsewhere.
+const ENDED_MEMORY_MS: u64 = 5_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct HeldFlow {
+    answered: bool,
+    is_busy: bool,
+    caller_ended: bool,
+    target_ended: bool,
+    seen_ms: u64,
+}
+
+impl HeldFlow {
+    fn has_ended(&self) -> bool {
+        self.caller_ended && self.target_ended
+    }
+}
+
+/// What became of a flow here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Holding {
+    /// Never seen, or long ago.
+    Unknown,
+    /// Offered to the target, which has not answered yet.
+    Offered,
+    /// The target holds it.
+    Held,
+    /// Both ends have ended it.
+    Ended,
+}
+
+/// Flows at one target.
+#[derive(Debug, Default)]
+pub struct HeldFlows {
+    flows: IndexMap<FlowKey, HeldFlow>,
+    open: u32,
+    busy: u32,
+}
+
+impl HeldFlows {
+    /// Holds nothing yet.
+    pub fn new() -> HeldFlows {
+        HeldFlows::default()
+    }
+
+    /// Flows that are offered or open.
+    pub fn open(&self) -> u32 {
+        self.open
+    }
+
+    /// Flows whose caller waits for an answer.
+    pub fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// What is known of a flow.
+    pub fn holding(&self, flow: &FlowKey) -> Holding {
+        match self.flows.get(flow) {
+            None => Holding::Unknown,
+            Some(held) if held.has_ended() => Holding::Ended,
+            Some(held) if held.answered => Holding::Held,
+            Some(_) => Holding::Offered,
+        }
+    }
+
+    /// Notes a caller's segment that is given to the target.
+    pub fn note_to_target(&mut self, segment: &Segment, now_ms: u64) {
+        let is_known = self.flows.contains_key(&segment.flow);
+        if !segment.opens && !is_known {
+            return;
+        }
+        self.change(segment.flow, |held| {
+            held.seen_ms = now_ms;
+            held.caller_ended |= segment.ends;
+            held.is_busy |= segment.payload_bytes > 0;
+            if segment.resets {
+                held.caller_ended = true;
+                held.target_ended = true;
+            }
+        });
+    }
+
+    /// Notes a segment that the target sent on one of its flows.
+    pub fn note_from_target(&mut self, segment: &Segment, now_ms: u64) {
+        self.change(segment.flow, |held| {
+            held.seen_ms = now_ms;
+            held.answered |= !segment.resets;
+            held.target_ended |= segment.ends || segment.resets;
+            held.caller_ended |= segment.resets;
+            if segment.payload_bytes > 0 || segment.resets {
+                held.is_busy = false;
+            }
+        });
+    }
+
+    /// Forgets a flow that the target gave back.
+    pub fn forget(&mut self, flow: &FlowKey) {
+        if let Some(held) = self.flows.swap_remove(flow) {
+            self.count(&held, false);
+        }
+    }
+
+    /// Forgets everything: the target has ended.
+    pub fn clear(&mut self) {
+        *self = HeldFlows::new();
+    }
+
+    /// Drops ended flows after a while, and others after `idle_ms` without a segment.
+    pub fn expire(&mut self, now_ms: u64, idle_ms: u64) {
+        let is_over = |held: &HeldFlow| {
+            let limit_ms = if held.has_ended() { ENDED_MEMORY_MS } else { idle_ms };
+            now_ms.saturating_sub(held.seen_ms) > limit_ms
+        };
+        let over: Vec<FlowKey> =
+            self.flows.iter().filter(|(_, held)| is_over(held)).map(|(flow, _)| *flow).collect();
+        for flow in over {
+            self.forget(&flow);
+        }
+    }
+
+    fn change(&mut self, flow: FlowKey, change: impl FnOnce(&mut HeldFlow)) {
+        let mut held = match self.flows.get(&flow).copied() {
+            Some(held) => {
+                self.count(&held, false);
+                held
+            }
+            None => HeldFlow::default(),
+        };
+        change(&mut held);
+        self.count(&held, true);
+        self.flows.insert(flow, held);
+    }
+
+    fn count(&mut self, held: &HeldFlow, add: bool) {
+        let open = u32::from(!held.has_ended());
+        let busy = u32::from(held.is_busy && !held.has_ended());
+        if add {
+            self.open += open;
+            self.busy += busy;
+        } else {
+            self.open -= open;
+            self.busy -= busy;
+        }
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,5 +2,10 @@
 
 pub mod datagram;
 pub mod envelope;
+pub mod flow_key;
+pub mod found_flows;
+pub mod held_flows;
 pub mod openings;
+pub mod segment;
 pub mod tag;
+pub mod target_gate;
--- /dev/null
+++ b/src/connection/target_gate.rs
@@ -0,0 +1,346 @@
+//! An agent's decision on segments that open a flow at its target.
+//!
+//! This is the only place that knows the target exactly, and every opening passes here, so the limits
+//! on draining, cold and taken-out targets hold however many balancers point at it and however old
+//! their views are.
+
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Time in which openings at a cold target are counted, in milliseconds: one second, and what an
+/// opening may spend on its way.
+const COLD_WINDOW_MS: u64 = 1_100;
+
+/// Busy slots over slots, in percent, from which an opening is passed on while others can take it.
+const FULL_PERCENT: u64 = 100;
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetReport {
+    /// Name of this life of the target.
+    pub id: String,
+    /// Start of this life, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Number of this report in this life.
+    pub sequence: u64,
+    /// Service that it runs.
+    pub service: String,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+    /// How long it stays cold, in milliseconds.
+    pub cold_left_ms: u64,
+    /// Requests that it runs at once when warm.
+    pub slots: u32,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportOutcome {
+    /// First report of a life of the target.
+    NewLife,
+    /// Something that balancers should know has changed.
+    Changed,
+    /// As before.
+    Same,
+    /// Older than what is held, or of a life that has ended.
+    Stale,
+}
+
+/// Phase of the target, as balancers are told.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TargetPhase {
+    /// Nothing heard yet, or silent.
+    Unknown,
+    /// Takes flows.
+    Serving,
+    /// Takes a few flows.
+    Cold,
+    /// Keeps its flows and takes no more.
+    Leaving,
+    /// Has ended; its flows are gone.
+    Ended,
+}
+
+/// Limits that come with the configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GateLimits {
+    /// Openings a second at a cold target.
+    pub cold_openings_per_s: u32,
+    /// Flows that the target holds.
+    pub max_flows: u32,
+}
+
+/// Load of the target at the moment of an opening.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetLoad {
+    /// Open flows.
+    pub flows: u32,
+    /// Flows whose caller waits for an answer.
+    pub busy: u32,
+}
+
+/// Why an opening is not given to the target.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Refused {
+    /// Nothing heard of the target for a while, or at all.
+    TargetSilent,
+    /// The target runs another service.
+    OtherService,
+    /// The target is leaving or has ended.
+    Leaving,
+    /// The availability zone is out.
+    ZoneOut,
+    /// The target is cold and has had as much as it bears.
+    Cold,
+    /// The target holds as many flows as it can.
+    Flows,
+    /// All slots are busy and others can take the flow.
+    Busy,
+}
+
+impl Refused {
+    /// All reasons, for metrics and docs.
+    pub const ALL: [Refused; 7] = [
+        Refused::TargetSilent,
+        Refused::OtherService,
+        Refused::Leaving,
+        Refused::ZoneOut,
+        Refused::Cold,
+        Refused::Flows,
+        Refused::Busy,
+    ];
+
+    /// Label of this reason in metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refused::TargetSilent => "target-silent",
+            Refused::OtherService => "other-service",
+            Refused::Leaving => "leaving",
+            Refused::ZoneOut => "zone-out",
+            Refused::Cold => "cold",
+            Refused::Flows => "flows",
+            Refused::Busy => "busy",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Life {
+    report: TargetReport,
+    heard_ms: u64,
+    cold_until_ms: u64,
+    has_ended: bool,
+}
+
+/// What an agent knows of its target.
+#[derive(Debug)]
+pub struct TargetGate {
+    life: Option<Life>,
+    past_lives: VecDeque<(String, u64)>,
+    silence_ms: u64,
+    distrust_before_ms: u64,
+    is_zone_out: bool,
+    limits: GateLimits,
+    cold_openings_ms: VecDeque<u64>,
+}
+
+/// Past lives of the target that are remembered, so that late reports of theirs are told apart.
+const MAX_PAST_LIVES: usize = 16;
+
+impl TargetGate {
+    /// Creates a gate that has heard nothing. A target that is silent for `silence_ms` takes no
+    /// opening: its address may already belong to another service.
+    pub fn new(silence_ms: u64) -> TargetGate {
+        TargetGate {
+            life: None,
+            past_lives: VecDeque::new(),
+            silence_ms,
+            distrust_before_ms: 0,
+            is_zone_out: false,
+            limits: GateLimits { cold_openings_per_s: 1, max_flows: u32::MAX },
+            cold_openings_ms: VecDeque::new(),
+        }
+    }
+
+    /// Takes a report of the target.
+    pub fn report(&mut self, report: TargetReport, now_ms: u64) -> ReportOutcome {
+        let is_past =
+            |(id, started_ms): &(String, u64)| *id == report.id && *started_ms == report.started_ms;
+        if self.past_lives.iter().any(is_past) {
+            return ReportOutcome::Stale;
+        }
+        let cold_until_ms = now_ms + report.cold_left_ms;
+        let outcome = match &self.life {
+            None => ReportOutcome::NewLife,
+            Some(life) if is_same_life(&life.report, &report) => {
+                if report.sequence <= life.report.sequence || life.has_ended {
+                    return ReportOutcome::Stale;
+                }
+                let is_same = life.report.is_leaving == report.is_leaving
+                    && life.report.service == report.service
+                    && life.report.slots == report.slots
+                    && now_ms.saturating_sub(life.heard_ms) < self.silence_ms
+                    && (life.cold_until_ms > now_ms) == (cold_until_ms > now_ms);
+                if is_same { ReportOutcome::Same } else { ReportOutcome::Changed }
+            }
+            Some(life) => {
+                let is_heard = now_ms.saturating_sub(life.heard_ms) < self.silence_ms;
+                if report.started_ms < life.report.started_ms && is_heard && !life.has_ended {
+                    return ReportOutcome::Stale;
+                }
+                ReportOutcome::NewLife
+            }
+        };
+        if outcome == ReportOutcome::NewLife {
+            self.remember_past_life();
+        }
+        self.life = Some(Life { report, heard_ms: now_ms, cold_until_ms, has_ended: false });
+        outcome
+    }
+
+    /// The target has left. Says whether this ended the life that is known.
+    pub fn leave(&mut self, id: &str) -> bool {
+        match &mut self.life {
+            Some(life) if life.report.id == id && !life.has_ended => {
+                life.has_ended = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// The target has sent something on a flow that it holds, so this life of it goes on.
+    pub fn note_life_sign(&mut self, now_ms: u64) {
+        if let Some(life) = &mut self.life
+            && !life.has_ended
+            && life.heard_ms >= self.distrust_before_ms
+        {
+            life.heard_ms = now_ms;
+        }
+    }
+
+    /// The target gave back a segment of a flow that it held: another life may have begun, and
+    /// nothing is offered to it until it reports.
+    pub fn note_lost_flow(&mut self, now_ms: u64) {
+        self.distrust_before_ms = now_ms;
+    }
+
+    /// The agent stood still until now: what it holds may be old.
+    pub fn note_stall(&mut self, now_ms: u64) {
+        self.distrust_before_ms = now_ms;
+    }
+
+    /// Takes over whether the zone is out. Back in, the target must report first, as it may be cold.
+    pub fn set_zone_out(&mut self, is_out: bool, now_ms: u64) {
+        if self.is_zone_out && !is_out {
+            self.distrust_before_ms = now_ms;
+        }
+        self.is_zone_out = is_out;
+    }
+
+    /// Takes over the limits of the configuration.
+    pub fn set_limits(&mut self, limits: GateLimits) {
+        self.limits = limits;
+    }
+
+    /// The life of the target that is known.
+    pub fn known(&self) -> Option<&TargetReport> {
+        self.life.as_ref().map(|life| &life.report)
+    }
+
+    /// Time since the target was last heard, in milliseconds.
+    pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
+        self.life.as_ref().map(|life| now_ms.saturating_sub(life.heard_ms))
+    }
+
+    /// Whether the known life of the target has ended.
+    pub fn has_ended(&self) -> bool {
+        self.life.as_ref().is_some_and(|life| life.has_ended)
+    }
+
+    /// The phase that balancers are told.
+    pub fn phase(&self, now_ms: u64) -> TargetPhase {
+        let Some(life) = &self.life else {
+            return TargetPhase::Unknown;
+        };
+        if life.has_ended {
+            TargetPhase::Ended
+        } else if life.report.is_leaving {
+            TargetPhase::Leaving
+        } else if !self.is_trusted(life, now_ms) {
+            TargetPhase::Unknown
+        } else if life.cold_until_ms > now_ms {
+            TargetPhase::Cold
+        } else {
+            TargetPhase::Serving
+        }
+    }
+
+    /// Decides on a segment that opens a flow of `service`. `may_pass` says that other targets are
+    /// left to try; `is_copy` that the target has been offered this flow before.
+    pub fn admit(
+        &mut self,
+        service: &str,
+        load: TargetLoad,
+        may_pass: bool,
+        is_copy: bool,
+        now_ms: u64,
+    ) -> Result<(), Refused> {
+        let life = self.life.as_ref().ok_or(Refused::TargetSilent)?;
+        if life.has_ended || life.report.is_leaving {
+            return Err(Refused::Leaving);
+        }
+        if !self.is_trusted(life, now_ms) {
+            return Err(Refused::TargetSilent);
+        }
+        if life.report.service != service {
+            return Err(Refused::OtherService);
+        }
+        if self.is_zone_out {
+            return Err(Refused::ZoneOut);
+        }
+        if !is_copy && load.flows >= self.limits.max_flows {
+            return Err(Refused::Flows);
+        }
+        let slots = u64::from(life.report.slots.max(1));
+        let is_full = u64::from(load.busy) * 100 >= slots * FULL_PERCENT;
+        if !is_copy && is_full && may_pass {
+            return Err(Refused::Busy);
+        }
+        if life.cold_until_ms > now_ms { self.admit_cold(now_ms) } else { Ok(()) }
+    }
+
+    fn admit_cold(&mut self, now_ms: u64) -> Result<(), Refused> {
+        while let Some(oldest_ms) = self.cold_openings_ms.front()
+            && now_ms.saturating_sub(*oldest_ms) > COLD_WINDOW_MS
+        {
+            self.cold_openings_ms.pop_front();
+        }
+        if self.cold_openings_ms.len() >= self.limits.cold_openings_per_s as usize {
+            return Err(Refused::Cold);
+        }
+        self.cold_openings_ms.push_back(now_ms);
+        Ok(())
+    }
+
+    fn is_trusted(&self, life: &Life, now_ms: u64) -> bool {
+        life.heard_ms >= self.distrust_before_ms
+            && now_ms.saturating_sub(life.heard_ms) < self.silence_ms
+    }
+
+    fn remember_past_life(&mut self) {
+        let Some(life) = self.life.take() else {
+            return;
+        };
+        self.past_lives.push_back((life.report.id, life.report.started_ms));
+        if self.past_lives.len() > MAX_PAST_LIVES {
+            self.past_lives.pop_front();
+        }
+    }
+}
+
+fn is_same_life(held: &TargetReport, fresh: &TargetReport) -> bool {
+    held.id == fresh.id && held.started_ms == fresh.started_ms
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -55,6 +55,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The runtime or its signals could not be set up.
+    #[snafu(display("cannot start: {source}"))]
+    Runtime {
+        /// The cause.
+        source: io::Error,
+    },
     /// Certificates or keys do not fit.
     #[snafu(display("TLS: {message}"))]
     Tls {
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -58,9 +58,17 @@
     address: SocketAddrV4,
     view: Arc<dyn AdminView>,
     extend: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
+) -> Result<AdminHandle> {
+    start_bare(address, |server| extend(server.manage(view).mount("/", common_routes()))).await
+}
+
+/// Serves the routes that `extend` adds, and no others, until it is ended.
+pub async fn start_bare(
+    address: SocketAddrV4,
+    extend: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
 ) -> Result<AdminHandle> {
     check_free(address)?;
-    let server = rocket::custom(config(address)).manage(view).mount("/", common_routes());
+    let server = rocket::custom(config(address));
     let server = extend(server).ignite().await.map_err(admin_error)?;
     let shutdown = server.shutdown();
     tokio::spawn(async move {
--- a/src/process/clock.rs
+++ b/src/process/clock.rs
@@ -4,6 +4,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use rand::Rng;
 
 /// Bits of an incarnation that are random.
@@ -40,6 +42,27 @@
     }
 }
 
+/// The clock of the host that goes on while the host is suspended.
+///
+/// Evidence that was gathered before a suspension is old after it, which a steady clock hides.
+#[derive(Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Creates a clock.
+    pub fn new() -> BootClock {
+        BootClock
+    }
+}
+
+impl Clock for BootClock {
+    fn now_ms(&self) -> u64 {
+        let now = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has a boot-time clock");
+        let seconds = u64::try_from(now.tv_sec()).unwrap_or(0);
+        seconds * 1000 + u64::try_from(now.tv_nsec()).unwrap_or(0) / 1_000_000
+    }
+}
+
 /// Returns a fresh incarnation: milliseconds of wall-clock time and some random bits.
 pub fn fresh_incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -160,6 +160,21 @@
         allowed
     }
 
+    /// Reads a time in seconds, whole or not, as milliseconds.
+    pub fn seconds_as_ms(&self, key: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let seconds = match self.required(key)? {
+            Value::NumberLit(literal) => literal.value.parse::<f64>().ok(),
+            _ => None,
+        };
+        let allowed = seconds
+            .filter(|seconds| *seconds >= *range.start() as f64 && *seconds <= *range.end() as f64);
+        if allowed.is_none() {
+            let (low, high) = range.into_inner();
+            self.fault(key, format!("must be a number of seconds from {low} to {high}"));
+        }
+        allowed.map(|seconds| (seconds * 1000.0).round() as u64)
+    }
+
     /// Reads a name of lower-case letters, digits and hyphens.
     pub fn name(&self, key: &str) -> Option<String> {
         let text = self.text(key)?;
--- a/src/process/etcd.rs
+++ b/src/process/etcd.rs
@@ -17,6 +17,7 @@
 
 use crate::process::store::Put;
 use crate::process::store::Store;
+use crate::process::store::StoreChange;
 use crate::process::store::StoreError;
 use crate::process::store::StoreSnapshot;
 use crate::process::store::StoreValue;
@@ -80,6 +81,20 @@
         response.json().await.map_err(|error| StoreError::NoAnswer { message: error.to_string() })
     }
 
+    async fn commit(
+        &self,
+        conditions: &[Unchanged],
+        success: Vec<Value>,
+    ) -> Result<TransactionOutcome, StoreError> {
+        let compare: Vec<Value> = conditions.iter().map(compare_json).collect();
+        let body = json!({"compare": compare, "success": success});
+        let answer = self.call("/v3/kv/txn", &body).await?;
+        if !answer["succeeded"].as_bool().unwrap_or(false) {
+            return Ok(TransactionOutcome::Conflict);
+        }
+        Ok(TransactionOutcome::Done(parse_number(&answer["header"]["revision"])?))
+    }
+
     async fn open_watch(&self, prefix: &str, from: u64) -> Result<Box<dyn Watch>, StoreError> {
         let body = json!({"create_request": {
             "key": STANDARD.encode(prefix),
@@ -122,16 +137,18 @@
         &'a self,
         conditions: &'a [Unchanged],
         puts: &'a [Put],
+    ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>> {
+        Box::pin(async move { self.commit(conditions, puts.iter().map(put_json).collect()).await })
+    }
+
+    fn remove<'a>(
+        &'a self,
+        conditions: &'a [Unchanged],
+        key: &'a str,
     ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>> {
         Box::pin(async move {
-            let compare: Vec<Value> = conditions.iter().map(compare_json).collect();
-            let success: Vec<Value> = puts.iter().map(put_json).collect();
-            let body = json!({"compare": compare, "success": success});
-            let answer = self.call("/v3/kv/txn", &body).await?;
-            if !answer["succeeded"].as_bool().unwrap_or(false) {
-                return Ok(TransactionOutcome::Conflict);
-            }
-            Ok(TransactionOutcome::Done(parse_number(&answer["header"]["revision"])?))
+            let removal = json!({"request_delete_range": {"key": STANDARD.encode(key)}});
+            self.commit(conditions, vec![removal]).await
         })
     }
 
@@ -189,7 +206,7 @@
 }
 
 impl Watch for EtcdWatch {
-    fn next(&mut self) -> BoxFuture<'_, Result<Vec<StoreValue>, StoreError>> {
+    fn next(&mut self) -> BoxFuture<'_, Result<Vec<StoreChange>, StoreError>> {
         Box::pin(async move {
             let line = self.next_line().await?;
             let message: Value =
@@ -199,9 +216,7 @@
                 return Err(StoreError::Compacted);
             }
             let events = result["events"].as_array().map_or(&[][..], Vec::as_slice);
-            // Deletions are left out: removal is a value of its own.
-            let is_put = |event: &&Value| event["type"].as_str().unwrap_or("PUT") == "PUT";
-            events.iter().filter(is_put).map(|event| parse_value(&event["kv"])).collect()
+            events.iter().map(parse_event).collect()
         })
     }
 }
@@ -244,6 +259,14 @@
     }})
 }
 
+fn parse_event(event: &Value) -> Result<StoreChange, StoreError> {
+    let value = parse_value(&event["kv"])?;
+    if event["type"].as_str() == Some("DELETE") {
+        return Ok(StoreChange::Removed { key: value.key, revision: value.revision });
+    }
+    Ok(StoreChange::Written(value))
+}
+
 fn parse_value(kv: &Value) -> Result<StoreValue, StoreError> {
     let key = decode(&kv["key"])?;
     let key = String::from_utf8(key).map_err(|_| malformed("key"))?;
--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -58,6 +58,10 @@
     StoreValueInvalid = 203, Error, "value in the store does not parse";
     /// This balancer watches the store.
     StoreReaderChanged = 204, Info, "store reader role changed";
+    /// This node's entry stands in the store.
+    Registered = 205, Info, "registered";
+    /// The configuration was fetched from another balancer.
+    ConfigurationFetched = 206, Info, "configuration fetched from a balancer";
     /// A target was declared lost.
     TargetLost = 300, Warn, "target declared lost";
     /// A balancer was declared lost.
@@ -84,6 +88,18 @@
     RequestRefused = 407, Debug, "request refused";
     /// A flow could not be set up.
     FlowFailed = 408, Debug, "flow failed";
+    /// An opening was not given to the target.
+    OpeningRefused = 409, Info, "opening not given to the target";
+    /// A flow was reset.
+    FlowReset = 410, Info, "flow reset";
+    /// A segment was dropped.
+    SegmentDropped = 411, Info, "segment dropped";
+    /// What is known of a target has changed.
+    TargetChanged = 412, Info, "target changed";
+    /// A target's report could not be read.
+    ReportMalformed = 413, Warn, "report malformed";
+    /// The process stood still.
+    Stalled = 106, Warn, "process stood still";
     /// The socket of the forwarding path failed.
     ForwardFailed = 500, Error, "forwarding socket failed";
     /// A trace could not be written.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -23,6 +23,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operator;
+pub mod passthrough;
 pub mod publish;
 pub mod refusals;
 pub mod relay;
--- /dev/null
+++ b/src/process/passthrough/agent_state.rs
@@ -0,0 +1,222 @@
+//! All decisions of an agent on passed-through flows. No I/O, no clock.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use crate::connection::flow_key::FlowKey;
+use crate::connection::held_flows::HeldFlows;
+use crate::connection::held_flows::Holding;
+use crate::connection::segment::Segment;
+use crate::connection::target_gate::Refused;
+use crate::connection::target_gate::TargetGate;
+use crate::connection::target_gate::TargetLoad;
+use crate::connection::target_gate::TargetPhase;
+use crate::process::passthrough::balancer_state::ResetReason;
+use crate::process::passthrough::message::Probe;
+use crate::process::passthrough::way::Way;
+
+/// Segments at the target whose way is remembered; a power of two. 1,000 a second are given back
+/// within milliseconds.
+const SLOTS: u32 = 4096;
+
+/// Silence of the target, in milliseconds, after which its flows count as gone: the address is used
+/// again only after two seconds, and a live target reports or answers in that time.
+const GONE_MS: u64 = 2_500;
+
+/// Idle time after which a flow may be forgotten until the configuration says, in milliseconds.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+
+/// What to do with a segment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Give it to the target, with this value to be given back.
+    GiveToTarget {
+        /// The value.
+        slot: u32,
+        /// Balancer to tell that the flow is here.
+        tell: Option<SocketAddrV4>,
+    },
+    /// Pass it to the next agent.
+    PassOn(SocketAddrV4, Way, Option<Refused>),
+    /// Send it to the caller.
+    GiveToCaller {
+        /// Balancer to tell that the flow is here.
+        tell: Option<SocketAddrV4>,
+    },
+    /// Reset the flow towards the caller.
+    Reset(ResetReason, Option<Refused>),
+    /// Drop it.
+    Drop,
+}
+
+#[derive(Clone, Debug)]
+struct Given {
+    slot: u32,
+    flow: FlowKey,
+    way: Way,
+}
+
+/// What an agent knows of its target and its flows.
+#[derive(Debug)]
+pub struct AgentState {
+    /// The target.
+    pub gate: TargetGate,
+    /// Its flows.
+    pub flows: HeldFlows,
+    given: Vec<Option<Given>>,
+    next_slot: u32,
+    asked: IndexMap<FlowKey, SocketAddrV4>,
+    configuration_revision: u64,
+    idle_timeout_ms: u64,
+    running_since_ms: u64,
+}
+
+impl AgentState {
+    /// Knows nothing yet. See [`TargetGate::new`] for `silence_ms`.
+    pub fn new(silence_ms: u64, now_ms: u64) -> AgentState {
+        AgentState {
+            gate: TargetGate::new(silence_ms),
+            flows: HeldFlows::new(),
+            given: vec![None; SLOTS as usize],
+            next_slot: 1,
+            asked: IndexMap::new(),
+            configuration_revision: 0,
+            idle_timeout_ms: DEFAULT_IDLE_MS,
+            running_since_ms: now_ms,
+        }
+    }
+
+    /// Takes over what a balancer knows of the configuration. Says whether anything changed.
+    pub fn take_probe(&mut self, probe: &Probe, now_ms: u64) -> bool {
+        if probe.revision == 0 || probe.revision < self.configuration_revision {
+            return false;
+        }
+        self.configuration_revision = probe.revision;
+        self.gate.set_zone_out(probe.is_zone_out, now_ms);
+        if !probe.service.is_empty() {
+            self.gate.set_limits(probe.limits);
+            self.idle_timeout_ms = probe.idle_timeout_ms;
+        }
+        true
+    }
+
+    /// Decides on a caller's segment that came this way.
+    pub fn from_node(&mut self, segment: &Segment, way: Way, now_ms: u64) -> Step {
+        if segment.opens {
+            return self.open(segment, way, now_ms);
+        }
+        let holding = self.flows.holding(&segment.flow);
+        if self.is_target_gone(now_ms) {
+            return self.go_on(segment, way, None);
+        }
+        let asks = way.report_to.filter(|_| !way.is_known);
+        let tell = asks.filter(|_| holding == Holding::Held);
+        if let Some(balancer) = asks.filter(|_| tell.is_none()) {
+            self.asked.insert(segment.flow, balancer);
+        }
+        self.flows.note_to_target(segment, now_ms);
+        Step::GiveToTarget { slot: self.remember(segment.flow, way), tell }
+    }
+
+    /// Decides on a segment that came from the target.
+    pub fn from_target(&mut self, segment: &Segment, now_ms: u64) -> Step {
+        if segment.bounced {
+            return self.given_back(segment, now_ms);
+        }
+        if self.flows.holding(&segment.flow) == Holding::Held {
+            self.gate.note_life_sign(now_ms);
+        }
+        self.flows.note_from_target(segment, now_ms);
+        Step::GiveToCaller { tell: self.asked.swap_remove(&segment.flow) }
+    }
+
+    /// The target's process has ended, as its host says, or left.
+    pub fn forget_flows(&mut self) {
+        self.flows.clear();
+        self.asked.clear();
+    }
+
+    /// Drops what is over.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.flows.expire(now_ms, self.idle_timeout_ms);
+        if self.asked.len() > SLOTS as usize {
+            self.asked.clear();
+        }
+    }
+
+    /// This process stood still until now.
+    pub fn note_stall(&mut self, now_ms: u64) {
+        self.gate.note_stall(now_ms);
+        self.running_since_ms = now_ms;
+    }
+
+    fn open(&mut self, segment: &Segment, way: Way, now_ms: u64) -> Step {
+        let load = TargetLoad { flows: self.flows.open(), busy: self.flows.busy() };
+        let is_copy = self.flows.holding(&segment.flow) != Holding::Unknown;
+        let may_pass = !way.chain.is_empty();
+        match self.gate.admit(&way.service, load, may_pass, is_copy, now_ms) {
+            Ok(()) => {
+                self.flows.note_to_target(segment, now_ms);
+                if let Some(balancer) = way.report_to {
+                    self.asked.insert(segment.flow, balancer);
+                }
+                Step::GiveToTarget { slot: self.remember(segment.flow, way), tell: None }
+            }
+            Err(refused) => self.go_on(segment, way, Some(refused)),
+        }
+    }
+
+    fn given_back(&mut self, segment: &Segment, now_ms: u64) -> Step {
+        let holding = self.flows.holding(&segment.flow);
+        if holding == Holding::Ended {
+            return Step::Drop;
+        }
+        if holding == Holding::Held && !segment.opens {
+            self.gate.note_lost_flow(now_ms);
+        }
+        self.flows.forget(&segment.flow);
+        self.asked.swap_remove(&segment.flow);
+        let index = (segment.slot % SLOTS) as usize;
+        match self.given[index].take() {
+            Some(given) if given.slot == segment.slot && given.flow == segment.flow => {
+                self.go_on(segment, given.way, None)
+            }
+            _ => Step::Drop,
+        }
+    }
+
+    fn go_on(&self, segment: &Segment, mut way: Way, refused: Option<Refused>) -> Step {
+        if !way.chain.is_empty() {
+            let next = way.chain.remove(0);
+            way.is_known = false;
+            return Step::PassOn(next, way, refused);
+        }
+        if way.may_reset && !segment.resets {
+            let reason = match segment.opens {
+                true => ResetReason::NoTarget,
+                false => ResetReason::NotHeld,
+            };
+            return Step::Reset(reason, refused);
+        }
+        Step::Drop
+    }
+
+    /// Whether the target's flows are gone: it has left, or was silent for long while this process
+    /// ran all the time.
+    fn is_target_gone(&self, now_ms: u64) -> bool {
+        if self.gate.phase(now_ms) == TargetPhase::Ended {
+            return true;
+        }
+        let silent_ms = self.gate.silent_ms(now_ms);
+        let running_ms = now_ms.saturating_sub(self.running_since_ms);
+        silent_ms.is_some_and(|silent_ms| silent_ms > GONE_MS && running_ms > GONE_MS)
+    }
+
+    fn remember(&mut self, flow: FlowKey, way: Way) -> u32 {
+        let slot = self.next_slot;
+        self.next_slot = self.next_slot.wrapping_add(1).max(1);
+        self.given[(slot % SLOTS) as usize] = Some(Given { slot, flow, way });
+        slot
+    }
+}
--- /dev/null
+++ b/src/process/passthrough/balancer.rs
@@ -0,0 +1,627 @@
+//! The balancer daemon for passed-through flows.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rand::Rng;
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::connection::segment::Segment;
+use crate::connection::segment::Sender;
+use crate::connection::target_gate::GateLimits;
+use crate::error::Error;
+use crate::error::Result;
+use crate::log_event;
+use crate::process::admin;
+use crate::process::clock::BootClock;
+use crate::process::clock::Clock;
+use crate::process::events::Event;
+use crate::process::passthrough::BALANCERS_PREFIX;
+use crate::process::passthrough::OWN_PREFIX;
+use crate::process::passthrough::Platform;
+use crate::process::passthrough::Readiness;
+use crate::process::passthrough::TARGETS_PREFIX;
+use crate::process::passthrough::balancer_state::BalancerState;
+use crate::process::passthrough::balancer_state::Forwarding;
+use crate::process::passthrough::balancer_state::ResetReason;
+use crate::process::passthrough::exchange;
+use crate::process::passthrough::exchange::SnapshotSource;
+use crate::process::passthrough::follower;
+use crate::process::passthrough::follower::Following;
+use crate::process::passthrough::message;
+use crate::process::passthrough::message::NodeMessage;
+use crate::process::passthrough::message::Probe;
+use crate::process::passthrough::registration;
+use crate::process::passthrough::registration::NodeEntry;
+use crate::process::passthrough::settings::PassthroughBalancerSettings;
+use crate::process::passthrough::way;
+use crate::process::signals;
+use crate::process::store::StoreChange;
+use crate::process::store::StoreSnapshot;
+use crate::process::store::StoreValue;
+use crate::version::routing::Applied;
+use crate::version::routing::OperatorItem;
+use crate::version::target_table::KnownAgent;
+use crate::wire::ConfigurationItem;
+use crate::wire::ConfigurationSnapshot;
+
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 4096;
+
+/// Time between two probes of an agent, in milliseconds: a quarter of the silence that counts.
+const PROBE_INTERVAL_MS: u64 = 300;
+
+/// Time between two states sent to other balancers, in milliseconds.
+const STATE_INTERVAL_MS: u64 = 600;
+
+/// Time between two looks at the clock; a jump of [`STALL_MS`] between them is a stall.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time that a tick may be late, in milliseconds, before what is held counts as old.
+const STALL_MS: u64 = 600;
+
+/// Time between two sweeps of idle flows, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 1_000;
+
+/// How long an entry in the store outlasts its node's silence, in milliseconds: flows older than the
+/// platform's `flow_ttl_s` of 60 s may be forgotten.
+const ENTRY_SILENCE_MS: u64 = 60_000;
+
+/// Time from a planned stop to its end, in milliseconds: the platform asks twice a second and turns
+/// away after two misses; half a second for what is on its way.
+const STOP_MS: u64 = 1_800;
+
+struct PeerBalancer {
+    exchange: Option<SocketAddrV4>,
+    revision: u64,
+    heard_ms: u64,
+}
+
+struct Shared {
+    settings: PassthroughBalancerSettings,
+    platform: Platform,
+    clock: BootClock,
+    lifetime: u64,
+    state: Mutex<BalancerState>,
+    items: Mutex<IndexMap<String, (Vec<u8>, u64)>>,
+    peers: Mutex<IndexMap<SocketAddrV4, PeerBalancer>>,
+    is_stopping: AtomicBool,
+    store_heard_ms: AtomicU64,
+    control: UdpSocket,
+    data: UdpSocket,
+}
+
+/// Runs a balancer until it is told to stop.
+pub fn run(settings: PassthroughBalancerSettings, platform: Platform) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|source| Error::Runtime { source })?;
+    runtime.block_on(serve(settings, platform))
+}
+
+async fn serve(settings: PassthroughBalancerSettings, platform: Platform) -> Result<()> {
+    let data = bind(settings.node.data_address).await?;
+    let control = bind(settings.node.control_address).await?;
+    let state = BalancerState::new(&settings.node.availability_zone, settings.node.control_address);
+    let shared = Arc::new(Shared {
+        lifetime: rand::rng().random(),
+        clock: BootClock::new(),
+        state: Mutex::new(state),
+        items: Mutex::default(),
+        peers: Mutex::default(),
+        is_stopping: AtomicBool::new(false),
+        store_heard_ms: AtomicU64::new(0),
+        control,
+        data,
+        settings,
+        platform,
+    });
+    let node = &shared.settings.node;
+    log_event!(Event::Started, "role=balancer node={} zone={}", node.node, node.availability_zone);
+    let readiness: Arc<dyn Readiness> = shared.clone();
+    let surface = shared.platform.surface.clone();
+    admin::start_bare(node.ready_address, |server| surface.with_readiness(server, readiness))
+        .await?;
+    let source: Arc<dyn SnapshotSource> = shared.clone();
+    admin::start_bare(shared.settings.exchange_address, |server| exchange::mount(server, source))
+        .await?;
+    tokio::spawn(forward_segments(Arc::clone(&shared)));
+    tokio::spawn(read_control(Arc::clone(&shared)));
+    tokio::spawn(tick(Arc::clone(&shared)));
+    tokio::spawn(follow_operators(Arc::clone(&shared)));
+    tokio::spawn(follow_nodes(Arc::clone(&shared)));
+    tokio::spawn(register(Arc::clone(&shared)));
+    tokio::spawn(catch_up(Arc::clone(&shared)));
+    signals::wait_for_stop().await.map_err(|source| Error::Runtime { source })?;
+    stop(&shared).await;
+    Ok(())
+}
+
+/// Says not ready, and forwards until the platform has turned away.
+async fn stop(shared: &Arc<Shared>) {
+    shared.is_stopping.store(true, Ordering::Relaxed);
+    shared.send_state().await;
+    sleep(Duration::from_millis(STOP_MS.min(shared.settings.node.stop_ms))).await;
+    log_event!(Event::Stopped);
+}
+
+/// Binds a UDP socket.
+pub(crate) async fn bind(address: SocketAddrV4) -> Result<UdpSocket> {
+    let address = SocketAddr::V4(address);
+    UdpSocket::bind(address).await.map_err(|source| Error::Socket { address, source })
+}
+
+impl Shared {
+    fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    fn state(&self) -> MutexGuard<'_, BalancerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn peers(&self) -> MutexGuard<'_, IndexMap<SocketAddrV4, PeerBalancer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn items(&self) -> MutexGuard<'_, IndexMap<String, (Vec<u8>, u64)>> {
+        self.items.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn send_control(&self, message: &NodeMessage, to: SocketAddrV4) {
+        send(&self.control, &message.encode(), to).await;
+    }
+
+    /// Takes everything that operators have stored, as of `revision`.
+    fn take_items(&self, items: Vec<(String, Vec<u8>, u64)>, revision: u64) {
+        let decoder = &self.platform.operator_items;
+        let mut zones_out = IndexSet::new();
+        let mut held = IndexMap::new();
+        for (key, value, item_revision) in items {
+            match decoder.decode(&key, &value) {
+                Ok(OperatorItem::ZoneOut(zone)) => {
+                    zones_out.insert(zone);
+                }
+                Ok(OperatorItem::Configuration(configuration)) => {
+                    self.apply_configuration(configuration, item_revision);
+                }
+                Err(message) => log_event!(Event::StoreValueInvalid, "key={key} {message}"),
+            }
+            held.insert(key, (value, item_revision));
+        }
+        let applied = self.state().routing.apply_zones_out(zones_out, revision);
+        if applied == Applied::Newer {
+            self.note_zones();
+        }
+        *self.items() = held;
+    }
+
+    fn apply_configuration(
+        &self,
+        configuration: crate::version::routing::Configuration,
+        revision: u64,
+    ) {
+        let (version, routes) = (configuration.version, configuration.routes.len());
+        let applied = self.state().routing.apply_configuration(configuration, revision);
+        if applied == Applied::Newer {
+            let details = format!("revision={revision} version={version} routes={routes}");
+            log_event!(Event::ConfigurationChanged, "{details}");
+        }
+    }
+
+    fn note_zones(&self) {
+        let state = self.state();
+        let zones: Vec<&str> = state.routing.zones_out().collect();
+        log_event!(Event::ZoneChanged, "out={zones:?} revision={}", state.routing.revision());
+    }
+
+    fn take_change(&self, change: &StoreChange) {
+        match change {
+            StoreChange::Written(value) => self.take_written(value),
+            StoreChange::Removed { key, revision } => {
+                self.items().shift_remove(key);
+                if let Some(zone) = self.platform.operator_items.zone_of(key) {
+                    let applied = self.state().routing.apply_zone(zone, false, *revision);
+                    if applied == Applied::Newer {
+                        self.note_zones();
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_written(&self, value: &StoreValue) {
+        match self.platform.operator_items.decode(&value.key, &value.value) {
+            Ok(OperatorItem::Configuration(configuration)) => {
+                self.apply_configuration(configuration, value.revision);
+            }
+            Ok(OperatorItem::ZoneOut(zone)) => {
+                let applied = self.state().routing.apply_zone(&zone, true, value.revision);
+                if applied == Applied::Newer {
+                    self.note_zones();
+                }
+            }
+            Err(message) => {
+                log_event!(Event::StoreValueInvalid, "key={} {message}", value.key);
+            }
+        }
+        self.items().insert(value.key.clone(), (value.value.clone(), value.revision));
+    }
+
+    fn probe_for(&self, state: &BalancerState, agent: KnownAgent<'_>) -> Probe {
+        let service = state.targets.status(agent.data).map_or("", |status| status.service.as_str());
+        let configuration = state.routing.configuration();
+        let limits = configuration.and_then(|configuration| configuration.services.get(service));
+        Probe {
+            balancer: self.settings.node.control_address,
+            revision: state.routing.revision(),
+            is_zone_out: state.routing.is_zone_out(agent.zone),
+            service: limits.map_or_else(String::new, |_| service.to_owned()),
+            limits: GateLimits {
+                cold_openings_per_s: limits.map_or(0, |limits| limits.cold_openings_per_s),
+                max_flows: limits.map_or(u32::MAX, |limits| limits.max_flows),
+            },
+            idle_timeout_ms: configuration.map_or(0, |held| held.idle_timeout_ms),
+        }
+    }
+
+    async fn send_probes(&self) {
+        let probes: Vec<(SocketAddrV4, Probe)> = {
+            let state = self.state();
+            let probe = |agent: KnownAgent<'_>| (agent.control, self.probe_for(&state, agent));
+            state.targets.all().map(probe).collect()
+        };
+        for (control, probe) in probes {
+            self.send_control(&NodeMessage::Probe(probe), control).await;
+        }
+    }
+
+    async fn send_state(&self) {
+        let now_ms = self.now_ms();
+        let peers: Vec<SocketAddrV4> = self.peers().keys().copied().collect();
+        let message = {
+            let state = self.state();
+            NodeMessage::Balancer(message::BalancerState {
+                control: self.settings.node.control_address,
+                exchange: self.settings.exchange_address,
+                lifetime: self.lifetime,
+                revision: state.routing.revision(),
+                balancers: peers.clone(),
+                targets: state
+                    .targets
+                    .heard(now_ms)
+                    .map(|agent| (agent.data, agent.control, agent.zone.to_owned()))
+                    .collect(),
+                is_stopping: self.is_stopping.load(Ordering::Relaxed),
+            })
+        };
+        for peer in peers {
+            self.send_control(&message, peer).await;
+        }
+    }
+
+    fn learn_balancer(&self, control: SocketAddrV4, exchange: Option<SocketAddrV4>) {
+        if control == self.settings.node.control_address {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let fresh = PeerBalancer { exchange: None, revision: 0, heard_ms: now_ms };
+        let mut peers = self.peers();
+        let peer = peers.entry(control).or_insert(fresh);
+        peer.exchange = exchange.or(peer.exchange);
+    }
+
+    fn take_balancer(&self, message: message::BalancerState) {
+        let now_ms = self.now_ms();
+        self.learn_balancer(message.control, Some(message.exchange));
+        {
+            let mut peers = self.peers();
+            if message.is_stopping {
+                peers.shift_remove(&message.control);
+            } else if let Some(peer) = peers.get_mut(&message.control) {
+                peer.heard_ms = now_ms;
+                peer.revision = message.revision;
+            }
+        }
+        for balancer in message.balancers {
+            self.learn_balancer(balancer, None);
+        }
+        let mut state = self.state();
+        for (data, control, zone) in message.targets {
+            state.targets.learn(data, control, &zone, now_ms);
+        }
+    }
+}
+
+impl Readiness for Shared {
+    fn is_ready(&self) -> bool {
+        !self.is_stopping.load(Ordering::Relaxed) && self.state().routing.is_configured()
+    }
+}
+
+impl SnapshotSource for Shared {
+    fn snapshot(&self) -> ConfigurationSnapshot {
+        let revision = self.state().routing.revision();
+        let item = |(key, (value, revision)): (&String, &(Vec<u8>, u64))| ConfigurationItem {
+            key: key.clone(),
+            value: value.clone(),
+            revision: *revision,
+        };
+        ConfigurationSnapshot { revision, items: self.items().iter().map(item).collect() }
+    }
+}
+
+struct OperatorFollowing(Arc<Shared>);
+
+impl Following for OperatorFollowing {
+    fn take_snapshot(&self, snapshot: &StoreSnapshot) {
+        let item = |value: &StoreValue| (value.key.clone(), value.value.clone(), value.revision);
+        self.0.take_items(snapshot.values.iter().map(item).collect(), snapshot.revision);
+    }
+
+    fn take_changes(&self, changes: &[StoreChange]) {
+        for change in changes {
+            self.0.take_change(change);
+        }
+    }
+
+    fn note_answer(&self, answered: bool) {
+        if answered {
+            self.0.store_heard_ms.store(self.0.now_ms(), Ordering::Relaxed);
+        }
+    }
+}
+
+struct NodeFollowing(Arc<Shared>);
+
+impl NodeFollowing {
+    fn take(&self, value: &StoreValue) {
+        let Some(entry) = NodeEntry::decode(&value.value) else {
+            log_event!(Event::StoreValueInvalid, "key={}", value.key);
+            return;
+        };
+        if value.key.starts_with(TARGETS_PREFIX) {
+            let now_ms = self.0.now_ms();
+            self.0.state().targets.learn(entry.data, entry.control, &entry.zone, now_ms);
+        } else if value.key.starts_with(BALANCERS_PREFIX) {
+            self.0.learn_balancer(entry.control, Some(entry.data));
+        }
+    }
+}
+
+impl Following for NodeFollowing {
+    fn take_snapshot(&self, snapshot: &StoreSnapshot) {
+        for value in &snapshot.values {
+            self.take(value);
+        }
+    }
+
+    fn take_changes(&self, changes: &[StoreChange]) {
+        for change in changes {
+            match change {
+                StoreChange::Written(value) => self.take(value),
+                StoreChange::Removed { key, .. } => {
+                    let data = key.strip_prefix(TARGETS_PREFIX).and_then(|text| text.parse().ok());
+                    if let Some(data) = data {
+                        let now_ms = self.0.now_ms();
+                        self.0.state().targets.forget(data, now_ms);
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_answer(&self, _answered: bool) {}
+}
+
+async fn follow_operators(shared: Arc<Shared>) {
+    let prefix = shared.platform.operator_items.prefix();
+    let store = Arc::clone(&shared.platform.store);
+    follower::follow(store, prefix, &OperatorFollowing(shared)).await;
+}
+
+async fn follow_nodes(shared: Arc<Shared>) {
+    let store = Arc::clone(&shared.platform.store);
+    follower::follow(store, OWN_PREFIX, &NodeFollowing(shared)).await;
+}
+
+async fn register(shared: Arc<Shared>) {
+    let node = &shared.settings.node;
+    let key = format!("{BALANCERS_PREFIX}{}", node.control_address);
+    let entry = NodeEntry {
+        data: shared.settings.exchange_address,
+        control: node.control_address,
+        zone: node.availability_zone.clone(),
+    };
+    registration::register(&shared.platform.store, &key, &entry).await;
+}
+
+/// Time between two looks at whether another balancer knows more.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Silence of the store, in milliseconds, after which another balancer is asked. A waiting watch is
+/// answered every two seconds.
+const STORE_SILENCE_MS: u64 = 3_000;
+
+/// Fetches the configuration from a balancer that knows more, while the store is silent.
+async fn catch_up(shared: Arc<Shared>) {
+    let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+    loop {
+        sleep(CATCH_UP_INTERVAL).await;
+        let now_ms = shared.now_ms();
+        let store_heard_ms = shared.store_heard_ms.load(Ordering::Relaxed);
+        let own = shared.state().routing.revision();
+        if own != 0 && now_ms.saturating_sub(store_heard_ms) < STORE_SILENCE_MS {
+            continue;
+        }
+        for exchange in sources(&shared, own) {
+            match exchange::fetch(&client, exchange).await {
+                Ok(snapshot) if snapshot.revision > own => {
+                    let revision = snapshot.revision;
+                    log_event!(Event::ConfigurationFetched, "from={exchange} revision={revision}");
+                    let item = |item: ConfigurationItem| (item.key, item.value, item.revision);
+                    shared.take_items(snapshot.items.into_iter().map(item).collect(), revision);
+                    break;
+                }
+                Ok(_) => {}
+                Err(error) => log_event!(Event::CallFailed, "to={exchange} {error}"),
+            }
+        }
+    }
+}
+
+/// Balancers that know more than this one; the seeds as well while it knows nothing.
+fn sources(shared: &Shared, own_revision: u64) -> Vec<SocketAddrV4> {
+    let mut sources: Vec<SocketAddrV4> = shared
+        .peers()
+        .values()
+        .filter(|peer| peer.revision > own_revision)
+        .filter_map(|peer| peer.exchange)
+        .collect();
+    if own_revision == 0 {
+        let own = shared.settings.exchange_address;
+        sources.extend(shared.settings.node.seeds.iter().filter(|seed| **seed != own));
+    }
+    sources
+}
+
+async fn forward_segments(shared: Arc<Shared>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+    loop {
+        match shared.data.recv_from(&mut buffer).await {
+            Ok((length, _)) => {
+                forward_segment(&shared, &buffer[..length], &mut out).await;
+            }
+            // An earlier send was refused by its receiver.
+            Err(error) => log_event!(Event::ForwardFailed, "{error}"),
+        }
+    }
+}
+
+async fn forward_segment(shared: &Shared, datagram: &[u8], out: &mut Vec<u8>) {
+    let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
+        log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
+        return;
+    };
+    let forwarding = shared.state().forward(&segment, shared.now_ms());
+    match forwarding {
+        Forwarding::Send(ways) => {
+            for (agent, way) in ways {
+                way::encode(&way, datagram, out);
+                send(&shared.data, out, agent).await;
+            }
+        }
+        Forwarding::Reset(reason) => reset(shared, &segment, reason).await,
+        Forwarding::Drop(reason) => {
+            let flow = segment.flow;
+            let details = format!("caller={} route={}", flow.caller, flow.service);
+            log_event!(Event::SegmentDropped, "reason={} {details}", reason.as_str());
+        }
+    }
+}
+
+async fn reset(shared: &Shared, segment: &Segment, reason: ResetReason) {
+    let flow = segment.flow;
+    log_event!(
+        Event::FlowReset,
+        "reason={} caller={} route={} opening={}",
+        reason.as_str(),
+        flow.caller,
+        flow.service,
+        segment.opens
+    );
+    let datagram = shared.platform.segments.reset(&flow, segment.acknowledged);
+    let port = shared.settings.node.data_address.port();
+    send(&shared.data, &datagram, SocketAddrV4::new(*flow.caller.ip(), port)).await;
+}
+
+/// Sends a datagram. A lost one is sent again by the flow's ends or by the next round.
+pub(crate) async fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddrV4) {
+    if let Err(error) = socket.send_to(datagram, SocketAddr::V4(to)).await {
+        log_event!(Event::ForwardFailed, "to={to} {error}");
+    }
+}
+
+async fn read_control(shared: Arc<Shared>) {
+    let mut buffer = vec![0; 65_536];
+    loop {
+        let length = match shared.control.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log_event!(Event::ForwardFailed, "{error}");
+                continue;
+            }
+        };
+        let now_ms = shared.now_ms();
+        match NodeMessage::decode(&buffer[..length]) {
+            Some(NodeMessage::Status(status)) => {
+                let details = format!(
+                    "agent={} service={} phase={:?} stopping={} lifetime={:x}",
+                    status.data, status.service, status.phase, status.is_stopping, status.lifetime
+                );
+                if shared.state().targets.update(status, now_ms) {
+                    log_event!(Event::TargetChanged, "{details}");
+                }
+            }
+            Some(NodeMessage::Found(flow, holder)) => {
+                shared.state().found.found(flow, holder, now_ms);
+            }
+            Some(NodeMessage::Balancer(message)) => shared.take_balancer(message),
+            Some(NodeMessage::Probe(_)) | None => {
+                log_event!(Event::CallFailed, "control datagram of {length} bytes not understood");
+            }
+        }
+    }
+}
+
+async fn tick(shared: Arc<Shared>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last_ms = shared.now_ms();
+    let (mut probed_ms, mut told_ms, mut swept_ms) = (0, 0, 0);
+    loop {
+        ticks.tick().await;
+        let now_ms = shared.now_ms();
+        if now_ms - last_ms > STALL_MS {
+            log_event!(Event::Stalled, "for_ms={}", now_ms - last_ms);
+            shared.state().targets.note_stall(now_ms);
+        }
+        last_ms = now_ms;
+        if now_ms - probed_ms >= PROBE_INTERVAL_MS {
+            probed_ms = now_ms;
+            shared.send_probes().await;
+        }
+        if now_ms - told_ms >= STATE_INTERVAL_MS {
+            told_ms = now_ms;
+            shared.send_state().await;
+        }
+        if now_ms - swept_ms >= SWEEP_INTERVAL_MS {
+            swept_ms = now_ms;
+            sweep(&shared, now_ms);
+        }
+    }
+}
+
+fn sweep(shared: &Shared, now_ms: u64) {
+    let mut state = shared.state();
+    let idle_ms = state.routing.configuration().map_or(u64::MAX, |held| held.idle_timeout_ms);
+    state.found.expire(now_ms, idle_ms);
+    let silent: Vec<SocketAddrV4> = state.targets.silent_for(ENTRY_SILENCE_MS, now_ms).collect();
+    for data in silent {
+        state.targets.forget(data, now_ms);
+    }
+    shared.peers().retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < ENTRY_SILENCE_MS);
+}
--- /dev/null
+++ b/src/process/passthrough/follower.rs
@@ -0,0 +1,88 @@
+//! Follows a prefix of the store: reads it once, then watches it.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::sleep;
+
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::store::Store;
+use crate::process::store::StoreChange;
+use crate::process::store::StoreError;
+use crate::process::store::StoreSnapshot;
+
+/// First and longest wait after a failure, in milliseconds. The longest leaves a second of the two in
+/// which the store's return must be noticed.
+const BACKOFF_MS: (u64, u64) = (100, 1_000);
+
+/// Takes what a follower reads.
+pub trait Following: Send + Sync {
+    /// Everything under the prefix, at the snapshot's revision.
+    fn take_snapshot(&self, snapshot: &StoreSnapshot);
+
+    /// Changes since.
+    fn take_changes(&self, changes: &[StoreChange]);
+
+    /// Whether the store answers.
+    fn note_answer(&self, answered: bool);
+}
+
+/// Follows `prefix` for as long as the process runs.
+pub async fn follow(store: Arc<dyn Store>, prefix: &str, following: &dyn Following) {
+    let mut failures = 0;
+    loop {
+        let result = read_and_watch(store.as_ref(), prefix, following, &mut failures).await;
+        let Err(error) = result;
+        following.note_answer(false);
+        if error == StoreError::Compacted {
+            log_event!(Event::StoreFailed, "call=watch prefix={prefix} {error}");
+            continue;
+        }
+        failures += 1;
+        log_event!(Event::StoreFailed, "prefix={prefix} failures={failures} {error}");
+        sleep(backoff(failures)).await;
+    }
+}
+
+fn read_and_watch<'a>(
+    store: &'a dyn Store,
+    prefix: &'a str,
+    following: &'a dyn Following,
+    failures: &'a mut u32,
+) -> impl Future<Output = Result<std::convert::Infallible, StoreError>> + 'a {
+    async move {
+        let snapshot = store.range(prefix).await?;
+        following.take_snapshot(&snapshot);
+        note_back(following, failures, prefix);
+        let mut watch = store.watch(prefix, snapshot.revision + 1).await?;
+        loop {
+            match watch.next().await {
+                Ok(changes) => {
+                    following.take_changes(&changes);
+                    note_back(following, failures, prefix);
+                }
+                // A waiting watch may be cut at any time; from where it stood it goes on.
+                Err(StoreError::NoAnswer { .. }) if *failures == 0 => *failures += 1,
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
+
+fn note_back(following: &dyn Following, failures: &mut u32, prefix: &str) {
+    following.note_answer(true);
+    if *failures > 0 {
+        log_event!(Event::StoreBack, "prefix={prefix} failures={failures}");
+    }
+    *failures = 0;
+}
+
+/// Waits longer with each failure, at random, so that nodes do not come back together.
+fn backoff(failures: u32) -> Duration {
+    let (low, high) = BACKOFF_MS;
+    let longest = high.min(low << failures.min(6));
+    Duration::from_millis(rand::rng().random_range(low..=longest))
+}
--- /dev/null
+++ b/src/process/passthrough/message.rs
@@ -0,0 +1,189 @@
+//! Control datagrams between balancers and agents, and their generated form.
+
+use std::net::SocketAddrV4;
+
+use prost::Message;
+
+use crate::connection::flow_key::FlowKey;
+use crate::connection::flow_key::pack_address;
+use crate::connection::flow_key::unpack_address;
+use crate::connection::target_gate::GateLimits;
+use crate::connection::target_gate::TargetPhase;
+use crate::version::target_table::TargetStatus;
+use crate::wire;
+use crate::wire::node_message::Kind;
+
+/// What a balancer tells an agent with each probe.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Probe {
+    /// Control address of the balancer.
+    pub balancer: SocketAddrV4,
+    /// Revision of the configuration that the rest comes from; 0 where it has none.
+    pub revision: u64,
+    /// Whether the agent's zone is out.
+    pub is_zone_out: bool,
+    /// Service that the limits are about; empty where they are not known.
+    pub service: String,
+    /// Limits of that service.
+    pub limits: GateLimits,
+    /// Idle time after which a flow may be forgotten, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// What a balancer tells other balancers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BalancerState {
+    /// Control address.
+    pub control: SocketAddrV4,
+    /// Address of its exchange of configuration.
+    pub exchange: SocketAddrV4,
+    /// Random number of this run.
+    pub lifetime: u64,
+    /// Revision of the newest change that is in force there.
+    pub revision: u64,
+    /// Control addresses of balancers that it hears.
+    pub balancers: Vec<SocketAddrV4>,
+    /// Agents that it hears: data address, control address, zone.
+    pub targets: Vec<(SocketAddrV4, SocketAddrV4, String)>,
+    /// Whether it stops.
+    pub is_stopping: bool,
+}
+
+/// One control datagram.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NodeMessage {
+    /// Balancer to agent.
+    Probe(Probe),
+    /// Agent to balancer.
+    Status(TargetStatus),
+    /// Agent to balancer: its target holds this flow.
+    Found(FlowKey, SocketAddrV4),
+    /// Balancer to balancer.
+    Balancer(BalancerState),
+}
+
+impl NodeMessage {
+    /// The bytes of the datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        let kind = match self {
+            NodeMessage::Probe(probe) => Kind::Probe(wire::Probe {
+                balancer: pack_address(probe.balancer),
+                configuration_revision: probe.revision,
+                zone_out: probe.is_zone_out,
+                service: probe.service.clone(),
+                cold_openings_per_s: probe.limits.cold_openings_per_s,
+                max_flows: probe.limits.max_flows,
+                idle_timeout_ms: u32::try_from(probe.idle_timeout_ms).unwrap_or(u32::MAX),
+            }),
+            NodeMessage::Status(status) => Kind::Status(status_to_wire(status)),
+            NodeMessage::Found(flow, holder) => Kind::Found(wire::FlowFound {
+                caller: pack_address(flow.caller),
+                service: pack_address(flow.service),
+                holder: pack_address(*holder),
+            }),
+            NodeMessage::Balancer(state) => Kind::Balancer(balancer_to_wire(state)),
+        };
+        wire::NodeMessage { kind: Some(kind) }.encode_to_vec()
+    }
+
+    /// Reads a datagram; `None` where it is none of these.
+    pub fn decode(bytes: &[u8]) -> Option<NodeMessage> {
+        Some(match wire::NodeMessage::decode(bytes).ok()?.kind? {
+            Kind::Probe(probe) => NodeMessage::Probe(Probe {
+                balancer: unpack_address(probe.balancer)?,
+                revision: probe.configuration_revision,
+                is_zone_out: probe.zone_out,
+                service: probe.service,
+                limits: GateLimits {
+                    cold_openings_per_s: probe.cold_openings_per_s,
+                    max_flows: probe.max_flows,
+                },
+                idle_timeout_ms: u64::from(probe.idle_timeout_ms),
+            }),
+            Kind::Status(status) => NodeMessage::Status(status_from_wire(status)?),
+            Kind::Found(found) => {
+                let caller = unpack_address(found.caller)?;
+                let service = unpack_address(found.service)?;
+                NodeMessage::Found(FlowKey { caller, service }, unpack_address(found.holder)?)
+            }
+            Kind::Balancer(state) => NodeMessage::Balancer(balancer_from_wire(state)?),
+        })
+    }
+}
+
+fn status_to_wire(status: &TargetStatus) -> wire::TargetStatus {
+    wire::TargetStatus {
+        data: pack_address(status.data),
+        control: pack_address(status.control),
+        lifetime: status.lifetime,
+        sequence: status.sequence,
+        zone: status.zone.clone(),
+        service: status.service.clone(),
+        phase: match status.phase {
+            TargetPhase::Unknown => 0,
+            TargetPhase::Serving => 1,
+            TargetPhase::Cold => 2,
+            TargetPhase::Leaving => 3,
+            TargetPhase::Ended => 4,
+        },
+        slots: status.slots,
+        flows: status.flows,
+        busy: status.busy,
+        stopping: status.is_stopping,
+    }
+}
+
+fn status_from_wire(status: wire::TargetStatus) -> Option<TargetStatus> {
+    Some(TargetStatus {
+        data: unpack_address(status.data)?,
+        control: unpack_address(status.control)?,
+        lifetime: status.lifetime,
+        sequence: status.sequence,
+        zone: status.zone,
+        service: status.service,
+        phase: match status.phase {
+            0 => TargetPhase::Unknown,
+            1 => TargetPhase::Serving,
+            2 => TargetPhase::Cold,
+            3 => TargetPhase::Leaving,
+            4 => TargetPhase::Ended,
+            _ => return None,
+        },
+        slots: status.slots,
+        flows: status.flows,
+        busy: status.busy,
+        is_stopping: status.stopping,
+    })
+}
+
+fn balancer_to_wire(state: &BalancerState) -> wire::BalancerState {
+    let target = |(data, control, zone): &(SocketAddrV4, SocketAddrV4, String)| wire::NodeAddress {
+        data: pack_address(*data),
+        control: pack_address(*control),
+        zone: zone.clone(),
+    };
+    wire::BalancerState {
+        control: pack_address(state.control),
+        exchange: pack_address(state.exchange),
+        lifetime: state.lifetime,
+        configuration_revision: state.revision,
+        balancers: state.balancers.iter().copied().map(pack_address).collect(),
+        targets: state.targets.iter().map(target).collect(),
+        stopping: state.is_stopping,
+    }
+}
+
+fn balancer_from_wire(state: wire::BalancerState) -> Option<BalancerState> {
+    let target = |target: wire::NodeAddress| {
+        Some((unpack_address(target.data)?, unpack_address(target.control)?, target.zone))
+    };
+    Some(BalancerState {
+        control: unpack_address(state.control)?,
+        exchange: unpack_address(state.exchange)?,
+        lifetime: state.lifetime,
+        revision: state.configuration_revision,
+        balancers: state.balancers.into_iter().map(unpack_address).collect::<Option<_>>()?,
+        targets: state.targets.into_iter().map(target).collect::<Option<_>>()?,
+        is_stopping: state.stopping,
+    })
+}
--- /dev/null
+++ b/src/process/passthrough/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of the two roles for passed-through flows, JSON with comments.
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+use crate::error::Result;
+use crate::process::document::Section;
+use crate::process::settings::LogSettings;
+use crate::process::settings::read_endpoints;
+use crate::process::settings::read_file;
+use crate::process::settings::read_log;
+
+/// Longest planned stop, in milliseconds (ten minutes).
+const MAX_STOP_MS: u64 = 600_000;
+
+/// Longest time between two reports of a target, in milliseconds.
+const MAX_REPORT_MS: u64 = 60_000;
+
+/// What both roles need.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the node, for logs.
+    pub node: String,
+    /// Availability zone of this host.
+    pub availability_zone: String,
+    /// Address for segments.
+    pub data_address: SocketAddrV4,
+    /// Address for control datagrams between nodes.
+    pub control_address: SocketAddrV4,
+    /// Address at which the platform asks for readiness.
+    pub ready_address: SocketAddrV4,
+    /// Exchange addresses of balancers to ask first.
+    pub seeds: Vec<SocketAddrV4>,
+    /// URLs of the platform's store.
+    pub store_endpoints: Vec<String>,
+    /// Address of the metrics; none where they are not served.
+    pub metrics_address: Option<SocketAddrV4>,
+    /// Longest time between a planned stop and the end, in milliseconds.
+    pub stop_ms: u64,
+    /// Log.
+    pub log: LogSettings,
+}
+
+/// Settings of a balancer.
+#[derive(Clone, Debug)]
+pub struct PassthroughBalancerSettings {
+    /// What both roles need.
+    pub node: NodeSettings,
+    /// Address at which other balancers fetch the configuration.
+    pub exchange_address: SocketAddrV4,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct PassthroughAgentSettings {
+    /// What both roles need.
+    pub node: NodeSettings,
+    /// Address of the target.
+    pub target_address: SocketAddrV4,
+    /// Address to which the target sends its segments.
+    pub from_target_address: SocketAddrV4,
+    /// Address at which the target announces itself.
+    pub announce_address: SocketAddrV4,
+    /// Time between two reports of the target, in milliseconds.
+    pub report_interval_ms: u64,
+    /// Time after which the address of a target that ended is used by another one, in milliseconds.
+    pub address_reuse_ms: u64,
+}
+
+impl PassthroughBalancerSettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<PassthroughBalancerSettings> {
+        read_file(path, |section| {
+            let node = read_node(section);
+            let exchange_address = section.address_v4("exchange_address");
+            Some(PassthroughBalancerSettings { node: node?, exchange_address: exchange_address? })
+        })
+    }
+}
+
+impl PassthroughAgentSettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<PassthroughAgentSettings> {
+        read_file(path, |section| {
+            let node = read_node(section);
+            let target_address = section.address_v4("target_address");
+            let from_target_address = section.address_v4("from_target_address");
+            let announce_address = section.address_v4("announce_address");
+            let report_interval_ms = section.number("report_interval_ms", 10..=MAX_REPORT_MS, None);
+            let address_reuse_ms = section.seconds_as_ms("address_reuse_s", 0..=MAX_STOP_MS / 1000);
+            Some(PassthroughAgentSettings {
+                node: node?,
+                target_address: target_address?,
+                from_target_address: from_target_address?,
+                announce_address: announce_address?,
+                report_interval_ms: report_interval_ms?,
+                address_reuse_ms: address_reuse_ms?,
+            })
+        })
+    }
+}
+
+fn read_node(section: &Section<'_>) -> Option<NodeSettings> {
+    let node = section.text("node");
+    let availability_zone = section.name("availability_zone");
+    let data_address = section.address_v4("data_address");
+    let control_address = section.address_v4("control_address");
+    let ready_address = section.address_v4("ready_address");
+    let seeds = section.addresses_v4("seeds");
+    let store_endpoints = read_endpoints(section, true);
+    let metrics_address = section.addresses_v4("metrics_addresses");
+    let stop_ms = section.seconds_as_ms("stop_s", 0..=MAX_STOP_MS / 1000);
+    let log = section.optional_section("log", LogSettings::default(), read_log);
+    Some(NodeSettings {
+        node: node?,
+        availability_zone: availability_zone?,
+        data_address: data_address?,
+        control_address: control_address?,
+        ready_address: ready_address?,
+        seeds: seeds?,
+        store_endpoints: store_endpoints?,
+        metrics_address: metrics_address?.first().copied(),
+        stop_ms: stop_ms?,
+        log: log?,
+    })
+}
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -149,7 +149,7 @@
     }
 }
 
-fn read_file<T>(path: &Path, read: impl FnOnce(&Section<'_>) -> Option<T>) -> Result<T> {
+pub(crate) fn read_file<T>(path: &Path, read: impl FnOnce(&Section<'_>) -> Option<T>) -> Result<T> {
     let document = Document::open(path).map_err(|fault| Error::Invalid { faults: vec![fault] })?;
     document.read(read).or_else(|faults| InvalidSnafu { faults }.fail())
 }
@@ -232,7 +232,7 @@
     Some(OperatorSettings { store_endpoints: store_endpoints?, admin_seeds: admin_seeds? })
 }
 
-fn read_endpoints(section: &Section<'_>, required: bool) -> Option<Vec<String>> {
+pub(crate) fn read_endpoints(section: &Section<'_>, required: bool) -> Option<Vec<String>> {
     let endpoints = section.texts("store_endpoints")?;
     if required && endpoints.is_empty() {
         section.fault("store_endpoints", "must name at least one URL".to_owned());
@@ -275,7 +275,7 @@
     }
 }
 
-fn read_log(section: &Section<'_>) -> Option<LogSettings> {
+pub(crate) fn read_log(section: &Section<'_>) -> Option<LogSettings> {
     let format = section.choice("format", &["text", "json"], "text");
     let level = section.choice("level", &["error", "warn", "info", "debug", "trace"], "info");
     let format = match format?.as_str() {
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -78,10 +78,24 @@
     Conflict,
 }
 
+/// One change that a watch shows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreChange {
+    /// A value was written.
+    Written(StoreValue),
+    /// A key was removed, by its owner or because its lease ended.
+    Removed {
+        /// Key.
+        key: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
+}
+
 /// A running watch.
 pub trait Watch: Send {
-    /// Waits for the next changes.
-    fn next(&mut self) -> BoxFuture<'_, Result<Vec<StoreValue>, StoreError>>;
+    /// Waits for the next changes; an empty list says that nothing has changed for a while.
+    fn next(&mut self) -> BoxFuture<'_, Result<Vec<StoreChange>, StoreError>>;
 }
 
 /// The platform's key-value service.
@@ -96,6 +110,13 @@
         puts: &'a [Put],
     ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>>;
 
+    /// Removes a key if all conditions hold.
+    fn remove<'a>(
+        &'a self,
+        conditions: &'a [Unchanged],
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>>;
+
     /// Watches a prefix from a revision on.
     fn watch<'a>(
         &'a self,
--- a/src/process/store_reader.rs
+++ b/src/process/store_reader.rs
@@ -16,6 +16,7 @@
 use crate::process::metrics::count;
 use crate::process::store::Put;
 use crate::process::store::Store;
+use crate::process::store::StoreChange;
 use crate::process::store::StoreError;
 use crate::process::store::StoreValue;
 use crate::version::record::Record;
@@ -136,14 +137,23 @@
     shared.metrics().store_calls.inc();
     let mut watch = store.watch(CONFIGURATION_PREFIX, snapshot.revision + 1).await?;
     while shared.with_peer(|peer| peer.is_store_reader(READERS_PER_ZONE)) {
-        if let Ok(values) = timeout(WATCH_SLICE, watch.next()).await {
-            take_values(shared, &values?, false);
+        if let Ok(changes) = timeout(WATCH_SLICE, watch.next()).await {
+            let values: Vec<StoreValue> = changes?.into_iter().filter_map(written).collect();
+            take_values(shared, &values, false);
             shared.note_store_answer();
         }
     }
     Ok(())
 }
 
+/// Removals are left out: here a removal is a value of its own.
+fn written(change: StoreChange) -> Option<StoreValue> {
+    match change {
+        StoreChange::Written(value) => Some(value),
+        StoreChange::Removed { .. } => None,
+    }
+}
+
 async fn read_contacts(shared: &BalancerShared, store: &dyn Store) -> Result<(), StoreError> {
     shared.metrics().store_calls.inc();
     let contacts = store.range(CONTACT_PREFIX).await?;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -8,5 +8,7 @@
 pub mod record;
 pub mod records;
 pub mod rendezvous;
+pub mod routing;
 pub mod service;
 pub mod table;
+pub mod target_table;
--- /dev/null
+++ b/src/version/target_table.rs
@@ -0,0 +1,399 @@
+//! A balancer's view of the targets of passed-through flows, and the chains it makes of it.
+//!
+//! The view may be old: it proposes, and the agents decide. An entry comes from the store or from a
+//! peer; what its agent says of itself comes by datagram and decides whether it is alive.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use crate::connection::target_gate::TargetPhase;
+use crate::version::hash::hash64;
+use crate::version::hash::hash64_with_seed;
+use crate::version::routing::Routing;
+
+/// Silence after which an agent is tried last, in milliseconds: four answers to probes are missing.
+pub const SILENCE_MS: u64 = 1_200;
+
+/// How long an agent that stops is waited for, in milliseconds: the platform's grace of six seconds
+/// and two to start again.
+pub const HOLD_MS: u64 = 8_000;
+
+/// How long an agent that was never heard counts as one that is starting, in milliseconds.
+const UNHEARD_MS: u64 = 4_000;
+
+/// Flows above the mean of its zone, in percent, from which a target is passed over.
+const BOUND_PERCENT: u64 = 110;
+
+/// Busy slots over slots, in percent, up to which new flows stay in the balancer's zone.
+const HOME_BUSY_PERCENT: u64 = 70;
+
+/// Busy slots, in percentage points, by which other zones must be better to be taken all the same.
+const HOME_MARGIN_PERCENT: u64 = 15;
+
+/// Runs of an agent that are remembered, so that late datagrams of theirs are told apart.
+const MAX_PAST_LIFETIMES: usize = 4;
+
+/// Most agents in one chain; 48 hops are 400 bytes of header.
+pub const MAX_CHAIN: usize = 48;
+
+/// Most agents in the chain of an opening: it is refused at the end, so that the caller's next try
+/// comes at once.
+pub const MAX_OPENING_CHAIN: usize = 8;
+
+/// Status that an agent sends of itself and its target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetStatus {
+    /// Address for segments.
+    pub data: SocketAddrV4,
+    /// Address for control datagrams.
+    pub control: SocketAddrV4,
+    /// Random number of this run of the agent.
+    pub lifetime: u64,
+    /// Number of the status in this run.
+    pub sequence: u64,
+    /// Availability zone.
+    pub zone: String,
+    /// Service of the target; empty where it is not known.
+    pub service: String,
+    /// Phase of the target.
+    pub phase: TargetPhase,
+    /// Requests that it runs at once when warm.
+    pub slots: u32,
+    /// Open flows.
+    pub flows: u32,
+    /// Flows whose caller waits for an answer.
+    pub busy: u32,
+    /// Whether the agent stops.
+    pub is_stopping: bool,
+}
+
+/// How an agent is seen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Liveness {
+    /// Heard a moment ago.
+    Alive,
+    /// About to start, or stopped for a moment: its target may hold flows.
+    Awaited,
+    /// Silent without a word.
+    Silent,
+}
+
+#[derive(Debug)]
+struct TargetEntry {
+    control: SocketAddrV4,
+    zone: String,
+    known_since_ms: u64,
+    heard_ms: Option<u64>,
+    status: Option<TargetStatus>,
+    past_lifetimes: Vec<u64>,
+    awaited_until_ms: u64,
+    offered: u32,
+}
+
+/// Where an agent is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownAgent<'a> {
+    /// Address for segments.
+    pub data: SocketAddrV4,
+    /// Address for control datagrams.
+    pub control: SocketAddrV4,
+    /// Availability zone.
+    pub zone: &'a str,
+}
+
+/// Where a segment of a flow that is not found is sent.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Search {
+    /// Agents that are alive, the likeliest first.
+    pub chain: Vec<SocketAddrV4>,
+    /// Agents that may hold the flow and do not answer; each gets a copy.
+    pub unanswering: Vec<SocketAddrV4>,
+    /// Whether some agent may hold the flow and is only away for a moment.
+    pub has_awaited: bool,
+}
+
+/// The targets that a balancer knows, by their agents' data addresses.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    targets: IndexMap<SocketAddrV4, TargetEntry>,
+    excused_until_ms: u64,
+}
+
+impl TargetTable {
+    /// Knows no target yet.
+    pub fn new() -> TargetTable {
+        TargetTable::default()
+    }
+
+    /// Learns of an agent, from the store or a peer. Says whether it is new.
+    pub fn learn(
+        &mut self,
+        data: SocketAddrV4,
+        control: SocketAddrV4,
+        zone: &str,
+        now_ms: u64,
+    ) -> bool {
+        if self.targets.contains_key(&data) {
+            return false;
+        }
+        let entry = TargetEntry {
+            control,
+            zone: zone.to_owned(),
+            known_since_ms: now_ms,
+            heard_ms: None,
+            status: None,
+            past_lifetimes: Vec::new(),
+            awaited_until_ms: 0,
+            offered: 0,
+        };
+        self.targets.insert(data, entry);
+        true
+    }
+
+    /// Takes over a status. Says whether anything but load has changed.
+    pub fn update(&mut self, status: TargetStatus, now_ms: u64) -> bool {
+        self.learn(status.data, status.control, &status.zone, now_ms);
+        let entry = &mut self.targets[&status.data];
+        if entry.past_lifetimes.contains(&status.lifetime) {
+            return false;
+        }
+        let mut is_changed = true;
+        if let Some(held) = &entry.status {
+            if held.lifetime == status.lifetime {
+                if status.sequence <= held.sequence {
+                    return false;
+                }
+                is_changed = held.phase != status.phase
+                    || held.service != status.service
+                    || held.is_stopping != status.is_stopping;
+            } else {
+                entry.past_lifetimes.push(held.lifetime);
+                if entry.past_lifetimes.len() > MAX_PAST_LIFETIMES {
+                    entry.past_lifetimes.remove(0);
+                }
+            }
+        }
+        entry.heard_ms = Some(now_ms);
+        entry.awaited_until_ms = if status.is_stopping { now_ms + HOLD_MS } else { 0 };
+        entry.control = status.control;
+        entry.zone.clone_from(&status.zone);
+        entry.offered = 0;
+        entry.status = Some(status);
+        is_changed
+    }
+
+    /// Forgets an agent whose entry was taken out of the store, unless it is heard.
+    pub fn forget(&mut self, data: SocketAddrV4, now_ms: u64) {
+        if self.liveness(data, now_ms) != Some(Liveness::Alive) {
+            self.targets.shift_remove(&data);
+        }
+    }
+
+    /// This process stood still: silence up to now proves nothing.
+    pub fn note_stall(&mut self, now_ms: u64) {
+        self.excused_until_ms = now_ms + SILENCE_MS;
+    }
+
+    /// All agents that are known.
+    pub fn all(&self) -> impl Iterator<Item = KnownAgent<'_>> {
+        self.targets.iter().map(|(data, entry)| KnownAgent {
+            data: *data,
+            control: entry.control,
+            zone: &entry.zone,
+        })
+    }
+
+    /// The agents that are heard.
+    pub fn heard(&self, now_ms: u64) -> impl Iterator<Item = KnownAgent<'_>> {
+        self.all().filter(move |agent| self.liveness(agent.data, now_ms) == Some(Liveness::Alive))
+    }
+
+    /// Data addresses of agents that have been silent for `silence_ms`.
+    pub fn silent_for(&self, silence_ms: u64, now_ms: u64) -> impl Iterator<Item = SocketAddrV4> {
+        let since = |entry: &TargetEntry| entry.heard_ms.unwrap_or(entry.known_since_ms);
+        self.targets
+            .iter()
+            .filter(move |(_, entry)| now_ms.saturating_sub(since(entry)) > silence_ms)
+            .map(|(data, _)| *data)
+    }
+
+    /// The last status of an agent.
+    pub fn status(&self, data: SocketAddrV4) -> Option<&TargetStatus> {
+        self.targets.get(&data)?.status.as_ref()
+    }
+
+    /// How an agent is seen; `None` where it is not known.
+    pub fn liveness(&self, data: SocketAddrV4, now_ms: u64) -> Option<Liveness> {
+        self.targets.get(&data).map(|entry| self.judge(entry, now_ms))
+    }
+
+    /// Agents to offer a new flow of a service to, best first.
+    ///
+    /// The load that it answers: callers of a zone that open flows in unequal numbers, and zones whose
+    /// targets are fewer than usual. Flows go to the balancer's own zone by bounded-load rendezvous
+    /// hashing; as its slots fill up, targets of all zones are weighed alike. Cold targets come after
+    /// warm ones.
+    pub fn opening_chain(
+        &self,
+        routing: &Routing,
+        service: &str,
+        flow_hash: u64,
+        home_zone: &str,
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4> {
+        let mut candidates: Vec<Candidate<'_>> = self
+            .targets
+            .iter()
+            .filter_map(|(data, entry)| self.candidate(*data, entry, service, flow_hash, now_ms))
+            .filter(|candidate| !routing.is_zone_out(&candidate.entry.zone))
+            .collect();
+        let spills = !prefers_home(&candidates, home_zone);
+        let bounds = Bounds::new(&candidates, home_zone, spills);
+        candidates.sort_by_cached_key(|candidate| {
+            let is_home = spills || candidate.entry.zone == home_zone;
+            (candidate.is_cold, !is_home, !bounds.fits(candidate), u64::MAX - candidate.score)
+        });
+        candidates.iter().take(MAX_OPENING_CHAIN).map(|candidate| candidate.data).collect()
+    }
+
+    /// Notes that a new flow was offered to an agent, until its next status counts it.
+    pub fn note_offer(&mut self, data: SocketAddrV4) {
+        if let Some(entry) = self.targets.get_mut(&data) {
+            entry.offered += 1;
+        }
+    }
+
+    /// All agents that may hold a flow of these services, in the order of the services; others last.
+    pub fn search(
+        &self,
+        services: &[&str],
+        flow_hash: u64,
+        home_zone: &str,
+        now_ms: u64,
+    ) -> Search {
+        let mut ranked: Vec<(usize, bool, u64, SocketAddrV4, Liveness)> = Vec::new();
+        for (data, entry) in &self.targets {
+            let status = entry.status.as_ref();
+            if status.is_some_and(|status| status.phase == TargetPhase::Ended) {
+                continue;
+            }
+            let service = status.map_or("", |status| status.service.as_str());
+            let rank = services.iter().position(|name| *name == service);
+            let rank = rank.unwrap_or(services.len());
+            let is_away = entry.zone != home_zone;
+            let score = u64::MAX - score(flow_hash, *data);
+            ranked.push((rank, is_away, score, *data, self.judge(entry, now_ms)));
+        }
+        ranked.sort_unstable_by_key(|(rank, is_away, score, ..)| (*rank, *is_away, *score));
+        let mut search = Search::default();
+        for (.., data, liveness) in ranked {
+            match liveness {
+                Liveness::Alive => search.chain.push(data),
+                Liveness::Awaited | Liveness::Silent => search.unanswering.push(data),
+            }
+            search.has_awaited |= liveness == Liveness::Awaited;
+        }
+        search.chain.truncate(MAX_CHAIN);
+        search
+    }
+
+    fn judge(&self, entry: &TargetEntry, now_ms: u64) -> Liveness {
+        let is_stopping = entry.status.as_ref().is_some_and(|status| status.is_stopping);
+        if is_stopping {
+            let is_awaited = now_ms < entry.awaited_until_ms;
+            return if is_awaited { Liveness::Awaited } else { Liveness::Silent };
+        }
+        match entry.heard_ms {
+            Some(heard_ms) if now_ms.saturating_sub(heard_ms) < SILENCE_MS => Liveness::Alive,
+            Some(_) if now_ms < self.excused_until_ms => Liveness::Awaited,
+            Some(_) => Liveness::Silent,
+            None if now_ms.saturating_sub(entry.known_since_ms) < UNHEARD_MS => Liveness::Awaited,
+            None => Liveness::Silent,
+        }
+    }
+
+    fn candidate<'a>(
+        &self,
+        data: SocketAddrV4,
+        entry: &'a TargetEntry,
+        service: &str,
+        flow_hash: u64,
+        now_ms: u64,
+    ) -> Option<Candidate<'a>> {
+        let status = entry.status.as_ref()?;
+        let is_cold = status.phase == TargetPhase::Cold;
+        let takes_flows = is_cold || status.phase == TargetPhase::Serving;
+        let is_alive = self.judge(entry, now_ms) == Liveness::Alive;
+        if !takes_flows || !is_alive || status.service != service {
+            return None;
+        }
+        let flows = u64::from(status.flows + entry.offered);
+        let score = score(flow_hash, data);
+        Some(Candidate { data, entry, status, is_cold, flows, score })
+    }
+}
+
+/// A target that may take a new flow.
+struct Candidate<'a> {
+    data: SocketAddrV4,
+    entry: &'a TargetEntry,
+    status: &'a TargetStatus,
+    is_cold: bool,
+    flows: u64,
+    score: u64,
+}
+
+impl Candidate<'_> {
+    fn slots(&self) -> u64 {
+        u64::from(self.status.slots.max(1))
+    }
+}
+
+/// Mean flows a slot, among those that are weighed against each other.
+struct Bounds {
+    flows: u64,
+    slots: u64,
+}
+
+impl Bounds {
+    fn new(candidates: &[Candidate<'_>], home_zone: &str, spills: bool) -> Bounds {
+        let group = candidates
+            .iter()
+            .filter(|candidate| !candidate.is_cold)
+            .filter(|candidate| spills || candidate.entry.zone == home_zone);
+        group.fold(Bounds { flows: 0, slots: 0 }, |bounds, candidate| Bounds {
+            flows: bounds.flows + candidate.flows,
+            slots: bounds.slots + candidate.slots(),
+        })
+    }
+
+    fn fits(&self, candidate: &Candidate<'_>) -> bool {
+        let fair = (self.flows + 1) * candidate.slots() * BOUND_PERCENT;
+        (candidate.flows + 1) * self.slots * 100 <= fair + self.slots * 100
+    }
+}
+
+/// Whether new flows stay in the balancer's zone.
+fn prefers_home(candidates: &[Candidate<'_>], home_zone: &str) -> bool {
+    let busy_percent = |is_home: bool| {
+        let group = candidates
+            .iter()
+            .filter(|candidate| !candidate.is_cold)
+            .filter(|candidate| (candidate.entry.zone == home_zone) == is_home);
+        let (busy, slots) = group.fold((0, 0), |(busy, slots), candidate| {
+            (busy + u64::from(candidate.status.busy), slots + candidate.slots())
+        });
+        (slots > 0).then(|| busy * 100 / slots)
+    };
+    match (busy_percent(true), busy_percent(false)) {
+        (Some(home), Some(away)) => home < HOME_BUSY_PERCENT || home <= away + HOME_MARGIN_PERCENT,
+        (Some(_), None) => true,
+        (None, _) => false,
+    }
+}
+
+fn score(flow_hash: u64, data: SocketAddrV4) -> u64 {
+    let id = hash64(data.to_string().as_bytes());
+    hash64_with_seed(&id.to_be_bytes(), flow_hash)
+}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -269,3 +269,149 @@
     #[prost(uint64, tag = "2")]
     pub silent_ms: u64,
 }
+/// Header in front of each segment of a passed-through flow, between balancers and agents.
+/// A node address is `ip << 16 | port`.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SegmentHeader {
+    /// Data addresses of the agents still to be tried, best first, without the receiver.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub chain: ::prost::alloc::vec::Vec<u64>,
+    /// Service that the flow opens at; empty unless the segment opens a flow.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    /// Whether the last agent of the chain may reset a flow that no target holds.
+    #[prost(bool, tag = "3")]
+    pub may_reset: bool,
+    /// Control address of the balancer that wants to know where the flow is; 0 for none.
+    #[prost(fixed64, tag = "4")]
+    pub report_to: u64,
+    /// The balancer knows already that the flow is at the receiver.
+    #[prost(bool, tag = "5")]
+    pub known: bool,
+}
+/// One datagram between the control sockets of balancers and agents.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeMessage {
+    #[prost(oneof = "node_message::Kind", tags = "1, 2, 3, 4")]
+    pub kind: ::core::option::Option<node_message::Kind>,
+}
+/// Nested message and enum types in `NodeMessage`.
+pub mod node_message {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Kind {
+        #[prost(message, tag = "1")]
+        Probe(super::Probe),
+        #[prost(message, tag = "2")]
+        Status(super::TargetStatus),
+        #[prost(message, tag = "3")]
+        Found(super::FlowFound),
+        #[prost(message, tag = "4")]
+        Balancer(super::BalancerState),
+    }
+}
+/// From a balancer to an agent, which answers with its status.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Probe {
+    #[prost(fixed64, tag = "1")]
+    pub balancer: u64,
+    /// Revision of the configuration that the fields below come from.
+    #[prost(uint64, tag = "2")]
+    pub configuration_revision: u64,
+    #[prost(bool, tag = "3")]
+    pub zone_out: bool,
+    /// Service that the fields below are about, as the agent last named it.
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub cold_openings_per_s: u32,
+    #[prost(uint32, tag = "6")]
+    pub max_flows: u32,
+    #[prost(uint32, tag = "7")]
+    pub idle_timeout_ms: u32,
+}
+/// What an agent says of itself and of its target.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetStatus {
+    #[prost(fixed64, tag = "1")]
+    pub data: u64,
+    #[prost(fixed64, tag = "2")]
+    pub control: u64,
+    /// Random number of this run of the agent.
+    #[prost(fixed64, tag = "3")]
+    pub lifetime: u64,
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    #[prost(string, tag = "5")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(string, tag = "6")]
+    pub service: ::prost::alloc::string::String,
+    /// 0 unknown, 1 serving, 2 cold, 3 leaving, 4 ended.
+    #[prost(uint32, tag = "7")]
+    pub phase: u32,
+    #[prost(uint32, tag = "8")]
+    pub slots: u32,
+    #[prost(uint32, tag = "9")]
+    pub flows: u32,
+    #[prost(uint32, tag = "10")]
+    pub busy: u32,
+    /// The agent stops; its target may live on and be served by the agent's next run.
+    #[prost(bool, tag = "11")]
+    pub stopping: bool,
+}
+/// An agent tells a balancer that its target holds a flow.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FlowFound {
+    #[prost(fixed64, tag = "1")]
+    pub caller: u64,
+    #[prost(fixed64, tag = "2")]
+    pub service: u64,
+    #[prost(fixed64, tag = "3")]
+    pub holder: u64,
+}
+/// From balancer to balancer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BalancerState {
+    #[prost(fixed64, tag = "1")]
+    pub control: u64,
+    #[prost(fixed64, tag = "2")]
+    pub exchange: u64,
+    #[prost(fixed64, tag = "3")]
+    pub lifetime: u64,
+    #[prost(uint64, tag = "4")]
+    pub configuration_revision: u64,
+    /// Control addresses of nodes that the sender hears.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub balancers: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, repeated, tag = "6")]
+    pub targets: ::prost::alloc::vec::Vec<NodeAddress>,
+    #[prost(bool, tag = "7")]
+    pub stopping: bool,
+}
+/// Addresses of an agent, where nothing more is known of it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NodeAddress {
+    #[prost(fixed64, tag = "1")]
+    pub data: u64,
+    #[prost(fixed64, tag = "2")]
+    pub control: u64,
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+}
+/// Everything a balancer knows of the configuration, for one that the store turns away.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigurationSnapshot {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub items: ::prost::alloc::vec::Vec<ConfigurationItem>,
+}
+/// One value, as the store holds it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ConfigurationItem {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
