A cold limit of 0 in the configuration is no limit

Ruled out: the start of processes (30 to 40 ms) and the store (first registration 20 ms after the start). Found beside: processes end on SIGHUP (code 129).

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -66,8 +66,8 @@
 /// Limits that come with the configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct GateLimits {
-    /// Openings a second at a cold target.
-    pub cold_openings_per_s: u32,
+    /// Openings a second at a cold target; none where it bears as many as a warm one.
+    pub cold_openings_per_s: Option<u32>,
     /// Flows that the target holds.
     pub max_flows: u32,
 }
@@ -159,7 +159,7 @@
             silence_ms,
             distrust_before_ms: 0,
             is_zone_out: false,
-            limits: GateLimits { cold_openings_per_s: 1, max_flows: u32::MAX },
+            limits: GateLimits { cold_openings_per_s: None, max_flows: u32::MAX },
             cold_openings_ms: VecDeque::new(),
         }
     }
@@ -313,12 +313,15 @@
     }
 
     fn admit_cold(&mut self, now_ms: u64) -> Result<(), Refused> {
+        let Some(limit) = self.limits.cold_openings_per_s else {
+            return Ok(());
+        };
         while let Some(oldest_ms) = self.cold_openings_ms.front()
             && now_ms.saturating_sub(*oldest_ms) > COLD_WINDOW_MS
         {
             self.cold_openings_ms.pop_front();
         }
-        if self.cold_openings_ms.len() >= self.limits.cold_openings_per_s as usize {
+        if self.cold_openings_ms.len() >= limit as usize {
             return Err(Refused::Cold);
         }
         self.cold_openings_ms.push_back(now_ms);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -214,9 +214,12 @@
         revision: u64,
     ) {
         let (version, routes) = (configuration.version, configuration.routes.len());
+        let services = format!("{:?}", configuration.services);
         let applied = self.state().routing.apply_configuration(configuration, revision);
         if applied == Applied::Newer {
-            let details = format!("revision={revision} version={version} routes={routes}");
+            let details = format!(
+                "revision={revision} version={version} routes={routes} services={services}"
+            );
             log_event!(Event::ConfigurationChanged, "{details}");
         }
     }
@@ -270,7 +273,7 @@
             is_zone_out: state.routing.is_zone_out(agent.zone),
             service: limits.map_or_else(String::new, |_| service.to_owned()),
             limits: GateLimits {
-                cold_openings_per_s: limits.map_or(0, |limits| limits.cold_openings_per_s),
+                cold_openings_per_s: limits.and_then(|limits| limits.cold_openings_per_s),
                 max_flows: limits.map_or(u32::MAX, |limits| limits.max_flows),
             },
             idle_timeout_ms: configuration.map_or(0, |held| held.idle_timeout_ms),
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -71,7 +71,7 @@
                 configuration_revision: probe.revision,
                 zone_out: probe.is_zone_out,
                 service: probe.service.clone(),
-                cold_openings_per_s: probe.limits.cold_openings_per_s,
+                cold_openings_per_s: probe.limits.cold_openings_per_s.unwrap_or(0),
                 max_flows: probe.limits.max_flows,
                 idle_timeout_ms: u32::try_from(probe.idle_timeout_ms).unwrap_or(u32::MAX),
             }),
@@ -95,7 +95,7 @@
                 is_zone_out: probe.zone_out,
                 service: probe.service,
                 limits: GateLimits {
-                    cold_openings_per_s: probe.cold_openings_per_s,
+                    cold_openings_per_s: Some(probe.cold_openings_per_s).filter(|limit| *limit > 0),
                     max_flows: probe.max_flows,
                 },
                 idle_timeout_ms: u64::from(probe.idle_timeout_ms),
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -36,8 +36,8 @@
 pub struct ServiceLimits {
     /// Flows that a target holds.
     pub max_flows: u32,
-    /// Openings a second that a cold target bears.
-    pub cold_openings_per_s: u32,
+    /// Openings a second that a cold target bears; none where it bears as many as a warm one.
+    pub cold_openings_per_s: Option<u32>,
 }
 
 /// One version of the operators' configuration.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -322,6 +322,7 @@
     /// Service that the fields below are about, as the agent last named it.
     #[prost(string, tag = "4")]
     pub service: ::prost::alloc::string::String,
+    /// 0 for no limit.
     #[prost(uint32, tag = "5")]
     pub cold_openings_per_s: u32,
     #[prost(uint32, tag = "6")]
