--- a/src/process/etcd.rs
+++ b/src/process/etcd.rs
@@ -156,6 +156,7 @@
         &'a self,
         prefix: &'a str,
         from_revision: u64,
+        _longest_wait: Duration,
     ) -> BoxFuture<'a, Result<Box<dyn Watch>, StoreError>> {
         Box::pin(self.open_watch(prefix, from_revision))
     }
--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -48,6 +48,10 @@
     ReadinessChanged = 104, Info, "readiness changed";
     /// The admin interface ended.
     AdminFailed = 105, Error, "admin interface failed";
+    /// The settings were read again.
+    Reloaded = 107, Info, "settings read again";
+    /// The settings could not be read again; those before hold.
+    ReloadFailed = 108, Error, "settings not taken over";
     /// A new version of the configuration is in force.
     ConfigurationChanged = 200, Info, "configuration in force";
     /// The store did not answer.
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -41,6 +41,7 @@
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
+use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughAgentSettings;
 use crate::process::passthrough::way;
 use crate::process::signals;
@@ -64,6 +65,7 @@
 
 struct Shared {
     settings: PassthroughAgentSettings,
+    seeds: Seeds,
     platform: Platform,
     clock: BootClock,
     lifetime: u64,
@@ -99,6 +101,7 @@
         data: bind(settings.node.data_address).await?,
         control: bind(settings.node.control_address).await?,
         from_target: bind(settings.from_target_address).await?,
+        seeds: Seeds::new(&settings.node, |path| Ok(PassthroughAgentSettings::read(path)?.node)),
         settings,
         platform,
     });
@@ -119,6 +122,8 @@
     tokio::spawn(tell_changes(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
     tokio::spawn(register(Arc::clone(&shared)));
+    let reloading = Arc::clone(&shared);
+    tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
     signals::wait_for_stop().await.map_err(|source| Error::Runtime { source })?;
     stop(&shared).await;
     Ok(())
@@ -420,7 +425,7 @@
 async fn tell_seeds(shared: &Shared) {
     let message = shared.status().encode();
     let port = shared.settings.node.control_address.port();
-    for seed in &shared.settings.node.seeds {
+    for seed in shared.seeds.current() {
         send(&shared.control, &message, SocketAddrV4::new(*seed.ip(), port)).await;
     }
 }
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -7,7 +7,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use indexmap::IndexSet;
 use rand::Rng;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -41,11 +41,13 @@
 use crate::process::passthrough::exchange::SnapshotSource;
 use crate::process::passthrough::follower;
 use crate::process::passthrough::follower::Following;
+use crate::process::passthrough::follower::Pace;
 use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Probe;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
+use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughBalancerSettings;
 use crate::process::passthrough::way;
 use crate::process::signals;
@@ -92,6 +94,7 @@
 
 struct Shared {
     settings: PassthroughBalancerSettings,
+    seeds: Seeds,
     platform: Platform,
     clock: BootClock,
     lifetime: u64,
@@ -99,7 +102,7 @@
     items: Mutex<IndexMap<String, (Vec<u8>, u64)>>,
     peers: Mutex<IndexMap<SocketAddrV4, PeerBalancer>>,
     is_stopping: AtomicBool,
-    store_heard_ms: AtomicU64,
+    probe_soon: Notify,
     control: UdpSocket,
     data: UdpSocket,
 }
@@ -122,9 +125,10 @@
         items: Mutex::default(),
         peers: Mutex::default(),
         is_stopping: AtomicBool::new(false),
-        store_heard_ms: AtomicU64::new(0),
+        probe_soon: Notify::new(),
         control,
         data,
+        seeds: Seeds::new(&settings.node, |path| Ok(PassthroughBalancerSettings::read(path)?.node)),
         settings,
         platform,
     });
@@ -144,6 +148,8 @@
     tokio::spawn(follow_nodes(Arc::clone(&shared)));
     tokio::spawn(register(Arc::clone(&shared)));
     tokio::spawn(catch_up(Arc::clone(&shared)));
+    let reloading = Arc::clone(&shared);
+    tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
     signals::wait_for_stop().await.map_err(|source| Error::Runtime { source })?;
     stop(&shared).await;
     Ok(())
@@ -343,7 +349,9 @@
         }
         let mut state = self.state();
         for (data, control, zone) in message.targets {
-            state.targets.learn(data, control, &zone, now_ms);
+            if state.targets.learn(data, control, &zone, now_ms) {
+                self.probe_soon.notify_one();
+            }
         }
     }
 }
@@ -379,12 +387,6 @@
             self.0.take_change(change);
         }
     }
-
-    fn note_answer(&self, answered: bool) {
-        if answered {
-            self.0.store_heard_ms.store(self.0.now_ms(), Ordering::Relaxed);
-        }
-    }
 }
 
 struct NodeFollowing(Arc<Shared>);
@@ -397,7 +399,11 @@
         };
         if value.key.starts_with(TARGETS_PREFIX) {
             let now_ms = self.0.now_ms();
-            self.0.state().targets.learn(entry.data, entry.control, &entry.zone, now_ms);
+            let is_new =
+                self.0.state().targets.learn(entry.data, entry.control, &entry.zone, now_ms);
+            if is_new {
+                self.0.probe_soon.notify_one();
+            }
         } else if value.key.starts_with(BALANCERS_PREFIX) {
             self.0.learn_balancer(entry.control, Some(entry.data));
         }
@@ -425,19 +431,25 @@
             }
         }
     }
-
-    fn note_answer(&self, _answered: bool) {}
 }
 
+/// A change must be in force after 3 s; a watch may go silent, which counts as trouble for 4 s.
+const OPERATOR_PACE: Pace =
+    Pace { longest_wait: Duration::from_millis(4_500), pause: Duration::from_millis(150) };
+
+/// Nodes find each other through seeds and peers as well.
+const NODE_PACE: Pace =
+    Pace { longest_wait: Duration::from_secs(10), pause: Duration::from_millis(1_500) };
+
 async fn follow_operators(shared: Arc<Shared>) {
     let prefix = shared.platform.operator_items.prefix();
     let store = Arc::clone(&shared.platform.store);
-    follower::follow(store, prefix, &OperatorFollowing(shared)).await;
+    follower::follow(store, prefix, OPERATOR_PACE, &OperatorFollowing(shared)).await;
 }
 
 async fn follow_nodes(shared: Arc<Shared>) {
     let store = Arc::clone(&shared.platform.store);
-    follower::follow(store, OWN_PREFIX, &NodeFollowing(shared)).await;
+    follower::follow(store, OWN_PREFIX, NODE_PACE, &NodeFollowing(shared)).await;
 }
 
 async fn register(shared: Arc<Shared>) {
@@ -454,19 +466,25 @@
 /// Time between two looks at whether another balancer knows more.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Silence of the store, in milliseconds, after which another balancer is asked. A waiting watch is
-/// answered every two seconds.
-const STORE_SILENCE_MS: u64 = 3_000;
+/// How long another balancer may know more, in milliseconds, before it is asked: the store tells both
+/// within that time where it tells both at all.
+const BEHIND_MS: u64 = 600;
 
 /// Fetches the configuration from a balancer that knows more, while the store is silent.
 async fn catch_up(shared: Arc<Shared>) {
     let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+    let mut behind_since_ms = None;
     loop {
         sleep(CATCH_UP_INTERVAL).await;
         let now_ms = shared.now_ms();
-        let store_heard_ms = shared.store_heard_ms.load(Ordering::Relaxed);
         let own = shared.state().routing.revision();
-        if own != 0 && now_ms.saturating_sub(store_heard_ms) < STORE_SILENCE_MS {
+        let is_behind = own == 0 || shared.peers().values().any(|peer| peer.revision > own);
+        if !is_behind {
+            behind_since_ms = None;
+            continue;
+        }
+        let since_ms = *behind_since_ms.get_or_insert(now_ms);
+        if own != 0 && now_ms.saturating_sub(since_ms) < BEHIND_MS {
             continue;
         }
         for exchange in sources(&shared, own) {
@@ -495,7 +513,7 @@
         .collect();
     if own_revision == 0 {
         let own = shared.settings.exchange_address;
-        sources.extend(shared.settings.node.seeds.iter().filter(|seed| **seed != own));
+        sources.extend(shared.seeds.current().into_iter().filter(|seed| *seed != own));
     }
     sources
 }
@@ -596,14 +614,17 @@
     let mut last_ms = shared.now_ms();
     let (mut probed_ms, mut told_ms, mut swept_ms) = (0, 0, 0);
     loop {
-        ticks.tick().await;
+        let is_asked = tokio::select! {
+            _ = ticks.tick() => false,
+            () = shared.probe_soon.notified() => true,
+        };
         let now_ms = shared.now_ms();
         if now_ms - last_ms > STALL_MS {
             log_event!(Event::Stalled, "for_ms={}", now_ms - last_ms);
             shared.state().targets.note_stall(now_ms);
         }
         last_ms = now_ms;
-        if now_ms - probed_ms >= PROBE_INTERVAL_MS {
+        if is_asked || now_ms - probed_ms >= PROBE_INTERVAL_MS {
             probed_ms = now_ms;
             shared.send_probes().await;
         }
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -25,18 +25,23 @@
 
     /// Changes since.
     fn take_changes(&self, changes: &[StoreChange]);
+}
 
-    /// Whether the store answers.
-    fn note_answer(&self, answered: bool);
+/// How often a follower calls the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How long a watch waits: a connection that went silent is found after that time.
+    pub longest_wait: Duration,
+    /// Pause after changes, so that several come with one call.
+    pub pause: Duration,
 }
 
 /// Follows `prefix` for as long as the process runs.
-pub async fn follow(store: Arc<dyn Store>, prefix: &str, following: &dyn Following) {
+pub async fn follow(store: Arc<dyn Store>, prefix: &str, pace: Pace, following: &dyn Following) {
     let mut failures = 0;
     loop {
-        let result = read_and_watch(store.as_ref(), prefix, following, &mut failures).await;
+        let result = read_and_watch(store.as_ref(), prefix, pace, following, &mut failures).await;
         let Err(error) = result;
-        following.note_answer(false);
         if error == StoreError::Compacted {
             log_event!(Event::StoreFailed, "call=watch prefix={prefix} {error}");
             continue;
@@ -50,19 +55,23 @@
 fn read_and_watch<'a>(
     store: &'a dyn Store,
     prefix: &'a str,
+    pace: Pace,
     following: &'a dyn Following,
     failures: &'a mut u32,
 ) -> impl Future<Output = Result<std::convert::Infallible, StoreError>> + 'a {
     async move {
         let snapshot = store.range(prefix).await?;
         following.take_snapshot(&snapshot);
-        note_back(following, failures, prefix);
-        let mut watch = store.watch(prefix, snapshot.revision + 1).await?;
+        note_back(failures, prefix);
+        let mut watch = store.watch(prefix, snapshot.revision + 1, pace.longest_wait).await?;
         loop {
             match watch.next().await {
                 Ok(changes) => {
                     following.take_changes(&changes);
-                    note_back(following, failures, prefix);
+                    note_back(failures, prefix);
+                    if !changes.is_empty() {
+                        sleep(pace.pause).await;
+                    }
                 }
                 // A waiting watch may be cut at any time; from where it stood it goes on.
                 Err(StoreError::NoAnswer { .. }) if *failures == 0 => *failures += 1,
@@ -72,8 +81,7 @@
     }
 }
 
-fn note_back(following: &dyn Following, failures: &mut u32, prefix: &str) {
-    following.note_answer(true);
+fn note_back(failures: &mut u32, prefix: &str) {
     if *failures > 0 {
         log_event!(Event::StoreBack, "prefix={prefix} failures={failures}");
     }
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -13,6 +13,7 @@
 pub mod follower;
 pub mod message;
 pub mod registration;
+pub mod seeds;
 pub mod settings;
 pub mod way;
 
--- a/src/process/passthrough/settings.rs
+++ b/src/process/passthrough/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::path::Path;
+use std::path::PathBuf;
 
 use crate::error::Result;
 use crate::process::document::Section;
@@ -19,6 +20,8 @@
 /// What both roles need.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
+    /// The file.
+    pub path: PathBuf,
     /// Name of the node, for logs.
     pub node: String,
     /// Availability zone of this host.
@@ -71,7 +74,7 @@
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<PassthroughBalancerSettings> {
         read_file(path, |section| {
-            let node = read_node(section);
+            let node = read_node(path, section);
             let exchange_address = section.address_v4("exchange_address");
             Some(PassthroughBalancerSettings { node: node?, exchange_address: exchange_address? })
         })
@@ -82,7 +85,7 @@
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<PassthroughAgentSettings> {
         read_file(path, |section| {
-            let node = read_node(section);
+            let node = read_node(path, section);
             let target_address = section.address_v4("target_address");
             let from_target_address = section.address_v4("from_target_address");
             let announce_address = section.address_v4("announce_address");
@@ -100,7 +103,7 @@
     }
 }
 
-fn read_node(section: &Section<'_>) -> Option<NodeSettings> {
+fn read_node(path: &Path, section: &Section<'_>) -> Option<NodeSettings> {
     let node = section.text("node");
     let availability_zone = section.name("availability_zone");
     let data_address = section.address_v4("data_address");
@@ -112,6 +115,7 @@
     let stop_ms = section.seconds_as_ms("stop_s", 0..=MAX_STOP_MS / 1000);
     let log = section.optional_section("log", LogSettings::default(), read_log);
     Some(NodeSettings {
+        path: path.to_owned(),
         node: node?,
         availability_zone: availability_zone?,
         data_address: data_address?,
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -1,5 +1,7 @@
 //! The platform's key-value service as a trait object.
 
+use std::time::Duration;
+
 use futures_util::future::BoxFuture;
 use snafu::Snafu;
 
@@ -117,11 +119,13 @@
         key: &'a str,
     ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>>;
 
-    /// Watches a prefix from a revision on.
+    /// Watches a prefix from a revision on. A store without streams keeps each call waiting for up
+    /// to `longest_wait`.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
         from_revision: u64,
+        longest_wait: Duration,
     ) -> BoxFuture<'a, Result<Box<dyn Watch>, StoreError>>;
 
     /// Grants a lease of some seconds.
--- a/src/process/store_reader.rs
+++ b/src/process/store_reader.rs
@@ -135,7 +135,7 @@
     }
     read_contacts(shared, store).await?;
     shared.metrics().store_calls.inc();
-    let mut watch = store.watch(CONFIGURATION_PREFIX, snapshot.revision + 1).await?;
+    let mut watch = store.watch(CONFIGURATION_PREFIX, snapshot.revision + 1, WATCH_SLICE).await?;
     while shared.with_peer(|peer| peer.is_store_reader(READERS_PER_ZONE)) {
         if let Ok(changes) = timeout(WATCH_SLICE, watch.next()).await {
             let values: Vec<StoreValue> = changes?.into_iter().filter_map(written).collect();
