Flows are searched for along one chain a zone, and the balancer resets

Now each zone has its own chain, the last agent of each gives the segment back, and the balancer knows who has answered before it resets. Searches are limited only while an agent is awaited.

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -13,9 +13,9 @@
 /// balancer may stand in for several others.
 pub const MAX_FOUND_FLOWS: usize = 131_072;
 
-/// Searches for one flow within [`SEARCH_WINDOW_MS`] while some agent does not answer: each sends
-/// its segment to targets that do not hold the flow, and the platform takes three in two seconds for
-/// a flow that was lost.
+/// Searches for one flow within [`SEARCH_WINDOW_MS`] while an agent is awaited: each sends its
+/// segment to targets that do not hold the flow, and the platform takes three in two seconds for a
+/// flow that was lost.
 const MAX_SEARCHES: u32 = 2;
 
 /// Time in which searches are counted, in milliseconds: the platform's two seconds and a margin.
@@ -27,12 +27,24 @@
     used_ms: u64,
     searches: u32,
     first_search_ms: u64,
+    search: u32,
+    outstanding: usize,
+}
+
+/// What a search has come to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SearchState {
+    /// Some chains are still under way, or another search has begun.
+    Open,
+    /// No target that was asked holds the flow.
+    NotHeld,
 }
 
 /// Which agent holds which flow.
 #[derive(Debug, Default)]
 pub struct FoundFlows {
     entries: IndexMap<FlowKey, Entry>,
+    last_search: u32,
 }
 
 impl FoundFlows {
@@ -70,15 +82,40 @@
         self.entries.swap_remove(flow);
     }
 
-    /// Notes a search, and says whether it is one too many while an agent is silent.
-    pub fn may_search(&mut self, flow: FlowKey, now_ms: u64) -> bool {
+    /// Begins a search along some chains and returns its number, or nothing where it is one too many.
+    pub fn begin_search(
+        &mut self,
+        flow: FlowKey,
+        chains: usize,
+        is_limited: bool,
+        now_ms: u64,
+    ) -> Option<u32> {
+        self.last_search = self.last_search.wrapping_add(1).max(1);
+        let search = self.last_search;
         let entry = self.entry(flow, now_ms);
         if now_ms.saturating_sub(entry.first_search_ms) > SEARCH_WINDOW_MS {
             entry.first_search_ms = now_ms;
             entry.searches = 0;
         }
+        if is_limited && entry.searches >= MAX_SEARCHES {
+            return None;
+        }
         entry.searches += 1;
-        entry.searches <= MAX_SEARCHES
+        entry.search = search;
+        entry.outstanding = chains;
+        Some(search)
+    }
+
+    /// Notes that the targets of one chain do not hold the flow.
+    pub fn note_not_held(&mut self, flow: &FlowKey, search: u32) -> SearchState {
+        let Some(entry) = self.entries.get_mut(flow) else {
+            return SearchState::Open;
+        };
+        if entry.search != search || entry.outstanding == 0 || entry.holder.is_some() {
+            return SearchState::Open;
+        }
+        entry.outstanding -= 1;
+        if entry.outstanding == 0 { SearchState::NotHeld } else { SearchState::Open }
     }
 
     /// Drops flows that no segment has used for `idle_ms`.
@@ -90,7 +127,14 @@
         if self.entries.len() >= MAX_FOUND_FLOWS && !self.entries.contains_key(&flow) {
             self.entries.swap_remove_index(0);
         }
-        let fresh = Entry { holder: None, used_ms: now_ms, searches: 0, first_search_ms: now_ms };
+        let fresh = Entry {
+            holder: None,
+            used_ms: now_ms,
+            searches: 0,
+            first_search_ms: now_ms,
+            search: 0,
+            outstanding: 0,
+        };
         let entry = self.entries.entry(flow).or_insert(fresh);
         entry.used_ms = now_ms;
         entry
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
+use tokio::time::sleep;
 
 use crate::connection::flow_key::FlowKey;
 use crate::connection::segment::Segment;
@@ -39,6 +40,7 @@
 use crate::process::passthrough::balancer::bind;
 use crate::process::passthrough::balancer::send;
 use crate::process::passthrough::message::NodeMessage;
+use crate::process::passthrough::message::Returned;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
 use crate::process::passthrough::seeds::Seeds;
@@ -60,6 +62,9 @@
 /// the store is written again. Balancers probe each 300 ms.
 const UNPROBED_MS: u64 = 2_000;
 
+/// Time between the two farewells of an agent that stops.
+const FAREWELL_PAUSE: Duration = Duration::from_millis(20);
+
 /// How long a balancer that does not probe is still told of changes, in milliseconds.
 const BALANCER_SILENCE_MS: u64 = 5_000;
 
@@ -133,6 +138,9 @@
 async fn stop(shared: &Shared) {
     shared.is_stopping.store(true, Ordering::Relaxed);
     shared.tell_balancers().await;
+    // Datagrams are lost at times, and this one keeps balancers from searching elsewhere.
+    sleep(FAREWELL_PAUSE).await;
+    shared.tell_balancers().await;
     if shared.state().gate.has_ended() {
         let key = shared.entry_key();
         let removal = shared.platform.store.remove(&[], &key);
@@ -229,6 +237,15 @@
                 way::encode(&way, datagram, out);
                 send(&self.data, out, next).await;
             }
+            Step::GiveBack(balancer, search) => {
+                self.platform.segments.prepare(datagram, 0);
+                let returned = NodeMessage::Returned(Returned {
+                    agent: self.settings.node.data_address,
+                    search,
+                    segment: datagram.to_vec(),
+                });
+                send(&self.control, &returned.encode(), balancer).await;
+            }
             Step::Reset(reason, refused) => {
                 log_event!(
                     Event::FlowReset,
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -44,6 +44,8 @@
         /// Balancer to tell that the flow is here.
         tell: Option<SocketAddrV4>,
     },
+    /// Give it back to the balancer whose search this is.
+    GiveBack(SocketAddrV4, u32),
     /// Reset the flow towards the caller.
     Reset(ResetReason, Option<Refused>),
     /// Drop it.
@@ -110,7 +112,7 @@
         if self.is_target_gone(now_ms) {
             return self.go_on(segment, way, None);
         }
-        let asks = way.report_to.filter(|_| !way.is_known);
+        let asks = way.report_to.filter(|_| way.search != 0);
         let tell = asks.filter(|_| holding == Holding::Held);
         if let Some(balancer) = asks.filter(|_| tell.is_none()) {
             self.asked.insert(segment.flow, balancer);
@@ -189,17 +191,13 @@
     fn go_on(&self, segment: &Segment, mut way: Way, refused: Option<Refused>) -> Step {
         if !way.chain.is_empty() {
             let next = way.chain.remove(0);
-            way.is_known = false;
             return Step::PassOn(next, way, refused);
         }
-        if way.may_reset && !segment.resets {
-            let reason = match segment.opens {
-                true => ResetReason::NoTarget,
-                false => ResetReason::NotHeld,
-            };
-            return Step::Reset(reason, refused);
+        match (segment.opens, way.report_to) {
+            (true, _) => Step::Reset(ResetReason::NoTarget, refused),
+            (false, Some(balancer)) => Step::GiveBack(balancer, way.search),
+            (false, None) => Step::Drop,
         }
-        Step::Drop
     }
 
     /// Whether the target's flows are gone: it has left, or was silent for long while this process
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -35,6 +35,7 @@
 use crate::process::passthrough::Readiness;
 use crate::process::passthrough::TARGETS_PREFIX;
 use crate::process::passthrough::balancer_state::BalancerState;
+use crate::process::passthrough::balancer_state::DropReason;
 use crate::process::passthrough::balancer_state::Forwarding;
 use crate::process::passthrough::balancer_state::ResetReason;
 use crate::process::passthrough::exchange;
@@ -45,6 +46,7 @@
 use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Probe;
+use crate::process::passthrough::message::Returned;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
 use crate::process::passthrough::seeds::Seeds;
@@ -207,7 +209,8 @@
             }
             held.insert(key, (value, item_revision));
         }
-        let applied = self.state().routing.apply_zones_out(zones_out, revision);
+        let newest = held.values().map(|(_, revision)| *revision).max().unwrap_or(0);
+        let applied = self.state().routing.apply_zones_out(zones_out, newest, revision);
         if applied == Applied::Newer {
             self.note_zones();
         }
@@ -306,7 +309,7 @@
                 control: self.settings.node.control_address,
                 exchange: self.settings.exchange_address,
                 lifetime: self.lifetime,
-                revision: state.routing.revision(),
+                revision: state.routing.newest_change(),
                 balancers: peers.clone(),
                 targets: state
                     .targets
@@ -433,9 +436,12 @@
     }
 }
 
-/// A change must be in force after 3 s; a watch may go silent, which counts as trouble for 4 s.
-const OPERATOR_PACE: Pace =
-    Pace { longest_wait: Duration::from_millis(4_500), pause: Duration::from_millis(150) };
+/// Pause after a change of the configuration, of the three seconds in which it must be in force.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(150);
+
+/// Share of the time in which a silent connection must be noticed that one watch waits: what is left
+/// is for its late answer and for reading everything again.
+const WATCH_SHARE_PERCENT: u64 = 60;
 
 /// Nodes find each other through seeds and peers as well.
 const NODE_PACE: Pace =
@@ -444,7 +450,10 @@
 async fn follow_operators(shared: Arc<Shared>) {
     let prefix = shared.platform.operator_items.prefix();
     let store = Arc::clone(&shared.platform.store);
-    follower::follow(store, prefix, OPERATOR_PACE, &OperatorFollowing(shared)).await;
+    let longest_ms = shared.settings.node.store_silence_ms * WATCH_SHARE_PERCENT / 100;
+    let longest_wait = Duration::from_millis(longest_ms);
+    let pace = Pace { longest_wait, pause: OPERATOR_PAUSE };
+    follower::follow(store, prefix, pace, &OperatorFollowing(shared)).await;
 }
 
 async fn follow_nodes(shared: Arc<Shared>) {
@@ -477,7 +486,7 @@
     loop {
         sleep(CATCH_UP_INTERVAL).await;
         let now_ms = shared.now_ms();
-        let own = shared.state().routing.revision();
+        let own = shared.state().routing.newest_change();
         let is_behind = own == 0 || shared.peers().values().any(|peer| peer.revision > own);
         if !is_behind {
             behind_since_ms = None;
@@ -489,7 +498,7 @@
         }
         for exchange in sources(&shared, own) {
             match exchange::fetch(&client, exchange).await {
-                Ok(snapshot) if snapshot.revision > own => {
+                Ok(snapshot) if snapshot.revision >= own => {
                     let revision = snapshot.revision;
                     log_event!(Event::ConfigurationFetched, "from={exchange} revision={revision}");
                     let item = |item: ConfigurationItem| (item.key, item.value, item.revision);
@@ -538,6 +547,28 @@
         return;
     };
     let forwarding = shared.state().forward(&segment, shared.now_ms());
+    carry_out(shared, forwarding, &segment, datagram, out).await;
+}
+
+/// Goes on with a segment that an agent gave back.
+async fn take_back(shared: &Shared, returned: Returned, out: &mut Vec<u8>) {
+    let datagram = &returned.segment;
+    let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
+        log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
+        return;
+    };
+    let (agent, search) = (returned.agent, returned.search);
+    let forwarding = shared.state().take_back(&segment, agent, search, shared.now_ms());
+    carry_out(shared, forwarding, &segment, datagram, out).await;
+}
+
+async fn carry_out(
+    shared: &Shared,
+    forwarding: Forwarding,
+    segment: &Segment,
+    datagram: &[u8],
+    out: &mut Vec<u8>,
+) {
     match forwarding {
         Forwarding::Send(ways) => {
             for (agent, way) in ways {
@@ -545,7 +576,8 @@
                 send(&shared.data, out, agent).await;
             }
         }
-        Forwarding::Reset(reason) => reset(shared, &segment, reason).await,
+        Forwarding::Reset(reason) => reset(shared, segment, reason).await,
+        Forwarding::Drop(DropReason::Searching) => {}
         Forwarding::Drop(reason) => {
             let flow = segment.flow;
             let details = format!("caller={} route={}", flow.caller, flow.service);
@@ -578,6 +610,7 @@
 
 async fn read_control(shared: Arc<Shared>) {
     let mut buffer = vec![0; 65_536];
+    let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     loop {
         let length = match shared.control.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
@@ -600,6 +633,9 @@
             Some(NodeMessage::Found(flow, holder)) => {
                 shared.state().found.found(flow, holder, now_ms);
             }
+            Some(NodeMessage::Returned(returned)) => {
+                take_back(&shared, returned, &mut out).await;
+            }
             Some(NodeMessage::Balancer(message)) => shared.take_balancer(message),
             Some(NodeMessage::Probe(_)) | None => {
                 log_event!(Event::CallFailed, "control datagram of {length} bytes not understood");
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -4,6 +4,7 @@
 
 use crate::connection::flow_key::FlowKey;
 use crate::connection::found_flows::FoundFlows;
+use crate::connection::found_flows::SearchState;
 use crate::connection::segment::Segment;
 use crate::process::passthrough::way::Way;
 use crate::version::routing::Routing;
@@ -14,6 +15,9 @@
 /// Agents without an answer that get a copy of a segment whose flow is not found.
 const MAX_COPIES: usize = 8;
 
+/// Number of searches whose end nobody waits for: copies to agents that may be gone.
+const UNCOUNTED_SEARCH: u32 = u32::MAX;
+
 /// What to do with a segment of a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Forwarding {
@@ -36,15 +40,21 @@
     SearchedOften,
     /// A reset of a flow that nobody holds.
     NothingToReset,
+    /// Not held by the targets of one chain; others are still asked.
+    Searching,
+    /// Not held by those who answered, and one that may hold it did not.
+    NotProved,
 }
 
 impl DropReason {
     /// All reasons, for metrics and docs.
-    pub const ALL: [DropReason; 4] = [
+    pub const ALL: [DropReason; 6] = [
         DropReason::NoConfiguration,
         DropReason::NoTargetYet,
         DropReason::SearchedOften,
         DropReason::NothingToReset,
+        DropReason::Searching,
+        DropReason::NotProved,
     ];
 
     /// Label in metrics and logs.
@@ -54,6 +64,8 @@
             DropReason::NoTargetYet => "no-target-yet",
             DropReason::SearchedOften => "searched-often",
             DropReason::NothingToReset => "nothing-to-reset",
+            DropReason::Searching => "searching",
+            DropReason::NotProved => "not-proved",
         }
     }
 }
@@ -130,11 +142,36 @@
         if segment.opens { self.open(segment, now_ms) } else { self.follow(segment, now_ms) }
     }
 
+    /// Decides on a segment that an agent gave back, as no target of its chain holds the flow.
+    pub fn take_back(
+        &mut self,
+        segment: &Segment,
+        agent: SocketAddrV4,
+        search: u32,
+        now_ms: u64,
+    ) -> Forwarding {
+        let flow = segment.flow;
+        if search == 0 {
+            if self.found.holder(&flow, now_ms) == Some(agent) {
+                self.found.forget(&flow);
+            }
+            return self.search_for(segment, now_ms);
+        }
+        if self.found.note_not_held(&flow, search) == SearchState::Open {
+            return Forwarding::Drop(DropReason::Searching);
+        }
+        let may_reset = self.is_proved_lost(&flow, &self.search(&flow, now_ms));
+        match may_reset && !segment.resets {
+            true => Forwarding::Reset(ResetReason::NotHeld),
+            false => Forwarding::Drop(DropReason::NotProved),
+        }
+    }
+
     /// An opening goes to the agent that has taken an earlier copy, or to a fresh chain.
     fn open(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
         let flow = segment.flow;
         let Some((service, mut chain)) = self.opening_chain(&flow, now_ms) else {
-            return match self.is_settled(now_ms) {
+            return match self.targets.is_settled(now_ms) {
                 true => Forwarding::Reset(ResetReason::NoTarget),
                 false => Forwarding::Drop(DropReason::NoTargetYet),
             };
@@ -150,8 +187,7 @@
         }
         let first = chain.remove(0);
         self.targets.note_offer(first);
-        let report_to = Some(self.control);
-        let way = Way { chain, service, may_reset: true, report_to, is_known: false };
+        let way = Way { chain, service, report_to: Some(self.control), search: 0 };
         Forwarding::Send(vec![(first, way)])
     }
 
@@ -165,69 +201,70 @@
         })
     }
 
-    /// Whether every agent that is known has been heard, or is known to be silent.
-    fn is_settled(&self, now_ms: u64) -> bool {
-        !self.targets.search(&[], 0, &self.zone, now_ms).has_awaited
-    }
-
     /// Any other segment goes to the agent that holds the flow, or is searched for.
     fn follow(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
         let flow = segment.flow;
-        let search = self.search(&flow, now_ms);
-        let is_idempotent = self.routing.route(flow.service).is_some_and(|rule| rule.is_idempotent);
-        let may_reset = search.unanswering.is_empty() || (is_idempotent && !search.has_awaited);
-        let holder = self.found.holder(&flow, now_ms);
-        let liveness = holder.and_then(|holder| self.targets.liveness(holder, now_ms));
-        match (holder, liveness) {
-            (Some(holder), Some(Liveness::Alive)) => {
-                let mut chain = search.chain;
-                chain.retain(|agent| *agent != holder);
-                let report_to = Some(self.control);
-                let way = Way { chain, may_reset, report_to, is_known: true, ..Way::default() };
-                Forwarding::Send(vec![(holder, way)])
+        let Some(holder) = self.found.holder(&flow, now_ms) else {
+            return self.search_for(segment, now_ms);
+        };
+        match self.targets.liveness(holder, now_ms) {
+            None => self.search_for(segment, now_ms),
+            Some(Liveness::Silent) if self.may_leave(&flow, now_ms) && !segment.resets => {
+                self.found.forget(&flow);
+                Forwarding::Reset(ResetReason::HolderSilent)
             }
-            (Some(holder), Some(liveness)) => {
-                let others_live = !search.chain.is_empty();
-                if liveness == Liveness::Silent && is_idempotent && others_live && !segment.resets {
-                    self.found.forget(&flow);
-                    return Forwarding::Reset(ResetReason::HolderSilent);
-                }
-                Forwarding::Send(vec![(holder, Way::default())])
+            Some(_) => {
+                let way = Way { report_to: Some(self.control), ..Way::default() };
+                Forwarding::Send(vec![(holder, way)])
             }
-            _ => self.search_for(segment, search, may_reset, now_ms),
         }
     }
 
+    /// Whether the caller is better off with another target than waiting for a silent one: its
+    /// requests may be repeated, and somebody else takes them.
+    fn may_leave(&self, flow: &FlowKey, now_ms: u64) -> bool {
+        self.is_idempotent(flow) && self.opening_chain(flow, now_ms).is_some()
+    }
+
+    fn is_idempotent(&self, flow: &FlowKey) -> bool {
+        self.routing.route(flow.service).is_some_and(|rule| rule.is_idempotent)
+    }
+
     fn search(&self, flow: &FlowKey, now_ms: u64) -> Search {
         let flow_hash = flow.hash();
         let rule = self.routing.route(flow.service);
         let mut services = rule.map_or_else(Vec::new, |rule| rule.order(flow_hash));
         services.extend(self.routing.past_services(flow.service));
-        self.targets.search(&services, flow_hash, &self.zone, now_ms)
+        self.targets.search(&services, flow_hash, now_ms)
     }
 
-    fn search_for(
-        &mut self,
-        segment: &Segment,
-        search: Search,
-        may_reset: bool,
-        now_ms: u64,
-    ) -> Forwarding {
+    /// Whether nobody holds a flow that all who answered have given back. Of one that did not answer
+    /// this is not known: then only callers that may repeat are told, and not while it is awaited.
+    fn is_proved_lost(&self, flow: &FlowKey, search: &Search) -> bool {
+        search.unanswering.is_empty() || (self.is_idempotent(flow) && !search.has_awaited)
+    }
+
+    fn search_for(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
+        let search = self.search(&segment.flow, now_ms);
+        let is_limited = search.has_awaited;
+        let chains = search.chains.len();
+        let number = self.found.begin_search(segment.flow, chains, is_limited, now_ms);
         let report_to = Some(self.control);
-        let copy = |agent| (agent, Way { report_to, ..Way::default() });
-        let may_search = self.found.may_search(segment.flow, now_ms);
-        let mut ways: Vec<(SocketAddrV4, Way)> =
-            search.unanswering.iter().copied().take(MAX_COPIES).map(copy).collect();
-        if may_search || ways.is_empty() {
-            let mut chain = search.chain.into_iter();
-            if let Some(first) = chain.next() {
-                let chain = chain.collect();
-                ways.push((first, Way { chain, may_reset, report_to, ..Way::default() }));
+        let mut ways: Vec<(SocketAddrV4, Way)> = search
+            .unanswering
+            .iter()
+            .take(MAX_COPIES)
+            .map(|agent| (*agent, Way { report_to, search: UNCOUNTED_SEARCH, ..Way::default() }))
+            .collect();
+        if let Some(number) = number {
+            for mut chain in search.chains {
+                let first = chain.remove(0);
+                ways.push((first, Way { chain, report_to, search: number, ..Way::default() }));
             }
         }
         match ways.is_empty() {
             false => Forwarding::Send(ways),
-            true if may_search => Forwarding::Drop(DropReason::NoTargetYet),
+            true if number.is_some() => Forwarding::Drop(DropReason::NoTargetYet),
             true => Forwarding::Drop(DropReason::SearchedOften),
         }
     }
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -49,6 +49,17 @@
     pub is_stopping: bool,
 }
 
+/// A segment whose flow no target of a chain holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Returned {
+    /// Data address of the last agent of the chain.
+    pub agent: SocketAddrV4,
+    /// Number of the balancer's search; 0 where the flow should have been at that agent.
+    pub search: u32,
+    /// The segment.
+    pub segment: Vec<u8>,
+}
+
 /// One control datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum NodeMessage {
@@ -58,6 +69,8 @@
     Status(TargetStatus),
     /// Agent to balancer: its target holds this flow.
     Found(FlowKey, SocketAddrV4),
+    /// Agent to balancer: no target of the chain holds the segment's flow.
+    Returned(Returned),
     /// Balancer to balancer.
     Balancer(BalancerState),
 }
@@ -81,6 +94,11 @@
                 service: pack_address(flow.service),
                 holder: pack_address(*holder),
             }),
+            NodeMessage::Returned(returned) => Kind::Returned(wire::SegmentReturned {
+                agent: pack_address(returned.agent),
+                search: returned.search,
+                segment: returned.segment.clone(),
+            }),
             NodeMessage::Balancer(state) => Kind::Balancer(balancer_to_wire(state)),
         };
         wire::NodeMessage { kind: Some(kind) }.encode_to_vec()
@@ -106,6 +124,11 @@
                 let service = unpack_address(found.service)?;
                 NodeMessage::Found(FlowKey { caller, service }, unpack_address(found.holder)?)
             }
+            Kind::Returned(returned) => NodeMessage::Returned(Returned {
+                agent: unpack_address(returned.agent)?,
+                search: returned.search,
+                segment: returned.segment,
+            }),
             Kind::Balancer(state) => NodeMessage::Balancer(balancer_from_wire(state)?),
         })
     }
--- a/src/process/passthrough/settings.rs
+++ b/src/process/passthrough/settings.rs
@@ -17,6 +17,10 @@
 /// Longest time between two reports of a target, in milliseconds.
 const MAX_REPORT_MS: u64 = 60_000;
 
+/// Time in which a silent connection to the store must be noticed, in milliseconds: the time after
+/// trouble in which the platform excuses what comes late.
+const DEFAULT_STORE_SILENCE_MS: u64 = 4_000;
+
 /// What both roles need.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -38,6 +42,8 @@
     pub store_endpoints: Vec<String>,
     /// Address of the metrics; none where they are not served.
     pub metrics_address: Option<SocketAddrV4>,
+    /// Time in which a connection to the store that went silent must be noticed, in milliseconds.
+    pub store_silence_ms: u64,
     /// Longest time between a planned stop and the end, in milliseconds.
     pub stop_ms: u64,
     /// Log.
@@ -112,6 +118,8 @@
     let seeds = section.addresses_v4("seeds");
     let store_endpoints = read_endpoints(section, true);
     let metrics_address = section.addresses_v4("metrics_addresses");
+    let store_silence_ms =
+        section.number("store_silence_ms", 1000..=MAX_STOP_MS, Some(DEFAULT_STORE_SILENCE_MS));
     let stop_ms = section.seconds_as_ms("stop_s", 0..=MAX_STOP_MS / 1000);
     let log = section.optional_section("log", LogSettings::default(), read_log);
     Some(NodeSettings {
@@ -124,6 +132,7 @@
         seeds: seeds?,
         store_endpoints: store_endpoints?,
         metrics_address: metrics_address?.first().copied(),
+        store_silence_ms: store_silence_ms?,
         stop_ms: stop_ms?,
         log: log?,
     })
--- a/src/process/passthrough/way.rs
+++ b/src/process/passthrough/way.rs
@@ -25,12 +25,10 @@
     pub chain: Vec<SocketAddrV4>,
     /// Service at which the flow opens; empty unless the segment opens one.
     pub service: String,
-    /// Whether the last agent may reset a flow that nobody holds.
-    pub may_reset: bool,
-    /// Control address of the balancer that wants to know where the flow is.
+    /// Control address of the balancer that sent it.
     pub report_to: Option<SocketAddrV4>,
-    /// Whether that balancer knows already that the flow is at the receiver.
-    pub is_known: bool,
+    /// Number of the balancer's search for the flow; 0 where the flow should be at the receiver.
+    pub search: u32,
 }
 
 /// Why a datagram between nodes does not parse.
@@ -60,9 +58,8 @@
     let header = SegmentHeader {
         chain: way.chain.iter().take(MAX_CHAIN).copied().map(pack_address).collect(),
         service: way.service.clone(),
-        may_reset: way.may_reset,
         report_to: way.report_to.map_or(0, pack_address),
-        known: way.is_known,
+        search: way.search,
     };
     let length = u16::try_from(header.encoded_len()).unwrap_or(u16::MAX);
     out.clear();
@@ -97,9 +94,8 @@
     let way = Way {
         chain: chain.ok_or(WayFault::Header)?,
         service: header.service,
-        may_reset: header.may_reset,
         report_to,
-        is_known: header.known,
+        search: header.search,
     };
     Ok((way, PREFIX_BYTES + length))
 }
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -75,6 +75,7 @@
 #[derive(Debug, Default)]
 pub struct Routing {
     revision: u64,
+    newest_change: u64,
     configuration: Option<Arc<Configuration>>,
     configuration_revision: u64,
     zones_out: IndexSet<String>,
@@ -87,11 +88,16 @@
         Routing::default()
     }
 
-    /// Revision of the newest change that is in force; 0 where nothing is.
+    /// Revision of the store up to which everything is in force; 0 where nothing is.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Revision of the newest change that is in force; 0 where nothing is.
+    pub fn newest_change(&self) -> u64 {
+        self.newest_change
+    }
+
     /// Whether a configuration is in force.
     pub fn is_configured(&self) -> bool {
         self.configuration.is_some()
@@ -137,14 +143,22 @@
         self.configuration = Some(Arc::new(configuration));
         self.configuration_revision = revision;
         self.revision = self.revision.max(revision);
+        self.newest_change = self.newest_change.max(revision);
         Applied::Newer
     }
 
-    /// Takes over which zones are out, as of `revision`.
-    pub fn apply_zones_out(&mut self, zones: IndexSet<String>, revision: u64) -> Applied {
-        if revision < self.revision && self.revision != 0 {
+    /// Takes over which zones are out, as of `revision`, where the newest change that is known was at
+    /// `newest_change`.
+    pub fn apply_zones_out(
+        &mut self,
+        zones: IndexSet<String>,
+        newest_change: u64,
+        revision: u64,
+    ) -> Applied {
+        if revision < self.revision {
             return Applied::Known;
         }
+        self.newest_change = self.newest_change.max(newest_change);
         self.revision = self.revision.max(revision);
         if zones == self.zones_out {
             return Applied::Known;
@@ -159,6 +173,7 @@
             return Applied::Known;
         }
         self.revision = revision;
+        self.newest_change = self.newest_change.max(revision);
         let changed = if is_out {
             self.zones_out.insert(zone.to_owned())
         } else {
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -105,8 +105,9 @@
 /// Where a segment of a flow that is not found is sent.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Search {
-    /// Agents that are alive, the likeliest first.
-    pub chain: Vec<SocketAddrV4>,
+    /// Agents that are alive, a chain for each zone, the likeliest first. A zone that cannot be
+    /// reached holds up no other, and each segment crosses to it once.
+    pub chains: Vec<Vec<SocketAddrV4>>,
     /// Agents that may hold the flow and do not answer; each gets a copy.
     pub unanswering: Vec<SocketAddrV4>,
     /// Whether some agent may hold the flow and is only away for a moment.
@@ -265,14 +266,8 @@
     }
 
     /// All agents that may hold a flow of these services, in the order of the services; others last.
-    pub fn search(
-        &self,
-        services: &[&str],
-        flow_hash: u64,
-        home_zone: &str,
-        now_ms: u64,
-    ) -> Search {
-        let mut ranked: Vec<(usize, bool, u64, SocketAddrV4, Liveness)> = Vec::new();
+    pub fn search(&self, services: &[&str], flow_hash: u64, now_ms: u64) -> Search {
+        let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
             let status = entry.status.as_ref();
             if status.is_some_and(|status| status.phase == TargetPhase::Ended) {
@@ -281,23 +276,30 @@
             let service = status.map_or("", |status| status.service.as_str());
             let rank = services.iter().position(|name| *name == service);
             let rank = rank.unwrap_or(services.len());
-            let is_away = entry.zone != home_zone;
             let score = u64::MAX - score(flow_hash, *data);
-            ranked.push((rank, is_away, score, *data, self.judge(entry, now_ms)));
+            ranked.push((rank, score, *data, entry));
         }
-        ranked.sort_unstable_by_key(|(rank, is_away, score, ..)| (*rank, *is_away, *score));
+        ranked.sort_unstable_by_key(|(rank, score, ..)| (*rank, *score));
+        let mut chains: IndexMap<&str, Vec<SocketAddrV4>> = IndexMap::new();
         let mut search = Search::default();
-        for (.., data, liveness) in ranked {
+        for (.., data, entry) in ranked {
+            let liveness = self.judge(entry, now_ms);
             match liveness {
-                Liveness::Alive => search.chain.push(data),
+                Liveness::Alive => chains.entry(&entry.zone).or_default().push(data),
                 Liveness::Awaited | Liveness::Silent => search.unanswering.push(data),
             }
             search.has_awaited |= liveness == Liveness::Awaited;
         }
-        search.chain.truncate(MAX_CHAIN);
+        let parts = chains.values().flat_map(|chain| chain.chunks(MAX_CHAIN));
+        search.chains = parts.map(<[SocketAddrV4]>::to_vec).collect();
         search
     }
 
+    /// Whether every agent that is known has been heard, or is known to be silent.
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        self.targets.values().all(|entry| self.judge(entry, now_ms) != Liveness::Awaited)
+    }
+
     fn judge(&self, entry: &TargetEntry, now_ms: u64) -> Liveness {
         let is_stopping = entry.status.as_ref().is_some_and(|status| status.is_stopping);
         if is_stopping {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -279,20 +279,17 @@
     /// Service that the flow opens at; empty unless the segment opens a flow.
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
-    /// Whether the last agent of the chain may reset a flow that no target holds.
-    #[prost(bool, tag = "3")]
-    pub may_reset: bool,
-    /// Control address of the balancer that wants to know where the flow is; 0 for none.
+    /// Control address of the balancer that sent it.
     #[prost(fixed64, tag = "4")]
     pub report_to: u64,
-    /// The balancer knows already that the flow is at the receiver.
-    #[prost(bool, tag = "5")]
-    pub known: bool,
+    /// Number of the balancer's search for the flow; 0 where the flow should be at the receiver.
+    #[prost(uint32, tag = "5")]
+    pub search: u32,
 }
 /// One datagram between the control sockets of balancers and agents.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NodeMessage {
-    #[prost(oneof = "node_message::Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "node_message::Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: ::core::option::Option<node_message::Kind>,
 }
 /// Nested message and enum types in `NodeMessage`.
@@ -307,6 +304,8 @@
         Found(super::FlowFound),
         #[prost(message, tag = "4")]
         Balancer(super::BalancerState),
+        #[prost(message, tag = "5")]
+        Returned(super::SegmentReturned),
     }
 }
 /// From a balancer to an agent, which answers with its status.
@@ -369,6 +368,17 @@
     #[prost(fixed64, tag = "3")]
     pub holder: u64,
 }
+/// An agent gives a segment back to its balancer: no target of the chain holds its flow.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SegmentReturned {
+    /// Data address of the last agent of the chain.
+    #[prost(fixed64, tag = "1")]
+    pub agent: u64,
+    #[prost(uint32, tag = "2")]
+    pub search: u32,
+    #[prost(bytes = "vec", tag = "3")]
+    pub segment: ::prost::alloc::vec::Vec<u8>,
+}
 /// From balancer to balancer.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BalancerState {
