--- a/src/process/log_output.rs
+++ b/src/process/log_output.rs
@@ -1,9 +1,9 @@
 //! Standard output for log lines. A full pipe or a reader that stopped costs lines, never time.
 
 use std::io;
+use std::io::Stdout;
 use std::io::Write;
 use std::os::fd::AsFd;
-use std::os::fd::OwnedFd;
 
 use nix::poll::PollFd;
 use nix::poll::PollFlags;
@@ -16,7 +16,7 @@
 
 /// Writes whole lines, or none where the reader does not keep up.
 #[derive(Debug)]
-pub struct LogOutput<F: AsFd + Send = OwnedFd> {
+pub struct LogOutput<F: AsFd + Send = Stdout> {
     output: F,
     line: Vec<u8>,
     lost: u64,
@@ -25,8 +25,7 @@
 impl LogOutput {
     /// Writes to standard output.
     pub fn new() -> LogOutput {
-        let output = io::stdout().as_fd().try_clone_to_owned();
-        LogOutput::with_output(output.expect("standard output can be duplicated"))
+        LogOutput::with_output(io::stdout())
     }
 }
 
