Keepers in each zone probe its agents; between zones a few balancers talk

Now three balancers of its zone probe an agent, balancers of a zone tell each other what they hear, and two pairs talk between zones. What is told too late is probed directly, and only an unanswered probe of one's own makes an agent silent. Nodes are read once instead of watched; the first balancer removes entries of nodes that do not come back.

--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -74,6 +74,8 @@
     Registered = 205, Info, "registered";
     /// The configuration was fetched from another balancer.
     ConfigurationFetched = 206, Info, "configuration fetched from a balancer";
+    /// An entry of a node that does not come back was removed from the store.
+    EntryRemoved = 207, Info, "entry removed";
     /// A target was declared lost.
     TargetLost = 300, Warn, "target declared lost";
     /// A balancer was declared lost.
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -31,6 +31,7 @@
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
 use crate::process::events::Event;
+use crate::process::passthrough::BALANCERS_PREFIX;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
 use crate::process::passthrough::TARGETS_PREFIX;
@@ -406,7 +407,7 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_ms = shared.now_ms();
-    let mut seeds_told_ms = 0;
+    let mut seeds_told_ms = shared.now_ms();
     let mut phase = TargetPhase::Unknown;
     loop {
         ticks.tick().await;
@@ -434,6 +435,25 @@
         if is_unprobed && now_ms.saturating_sub(seeds_told_ms) >= UNPROBED_MS {
             seeds_told_ms = now_ms;
             tell_seeds(&shared).await;
+            tokio::spawn(tell_registered(Arc::clone(&shared)));
+        }
+    }
+}
+
+/// Tells the balancers that the store names that this agent exists.
+async fn tell_registered(shared: Arc<Shared>) {
+    let balancers = match shared.platform.store.range(BALANCERS_PREFIX).await {
+        Ok(snapshot) => snapshot.values,
+        Err(error) => {
+            log_event!(Event::StoreFailed, "call=balancers {error}");
+            return;
+        }
+    };
+    let message = shared.status().encode();
+    for value in balancers {
+        match NodeEntry::decode(&value.value) {
+            Some(entry) => send(&shared.control, &message, entry.control).await,
+            None => log_event!(Event::StoreValueInvalid, "key={}", value.key),
         }
     }
 }
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -54,11 +54,16 @@
 use crate::process::passthrough::way;
 use crate::process::signals;
 use crate::process::store::StoreChange;
+use crate::process::store::StoreError;
 use crate::process::store::StoreSnapshot;
 use crate::process::store::StoreValue;
+use crate::process::store::Unchanged;
+use crate::version::balancer_table::BalancerNews;
+use crate::version::balancer_table::BalancerTable;
 use crate::version::routing::Applied;
 use crate::version::routing::OperatorItem;
 use crate::version::target_table::KnownAgent;
+use crate::version::target_table::TargetStatus;
 use crate::wire::ConfigurationItem;
 use crate::wire::ConfigurationSnapshot;
 
@@ -88,12 +93,6 @@
 /// away after two misses; half a second for what is on its way.
 const STOP_MS: u64 = 1_800;
 
-struct PeerBalancer {
-    exchange: Option<SocketAddrV4>,
-    revision: u64,
-    heard_ms: u64,
-}
-
 struct Shared {
     settings: PassthroughBalancerSettings,
     seeds: Seeds,
@@ -102,7 +101,7 @@
     lifetime: u64,
     state: Mutex<BalancerState>,
     items: Mutex<IndexMap<String, (Vec<u8>, u64)>>,
-    peers: Mutex<IndexMap<SocketAddrV4, PeerBalancer>>,
+    peers: Mutex<BalancerTable>,
     is_stopping: AtomicBool,
     probe_soon: Notify,
     control: UdpSocket,
@@ -119,13 +118,15 @@
 async fn serve(settings: PassthroughBalancerSettings, platform: Platform) -> Result<()> {
     let data = bind(settings.node.data_address).await?;
     let control = bind(settings.node.control_address).await?;
-    let state = BalancerState::new(&settings.node.availability_zone, settings.node.control_address);
+    let zone = &settings.node.availability_zone;
+    let state = BalancerState::new(zone, settings.node.control_address);
+    let peers = BalancerTable::new(settings.node.control_address, zone);
     let shared = Arc::new(Shared {
         lifetime: rand::rng().random(),
         clock: BootClock::new(),
         state: Mutex::new(state),
         items: Mutex::default(),
-        peers: Mutex::default(),
+        peers: Mutex::new(peers),
         is_stopping: AtomicBool::new(false),
         probe_soon: Notify::new(),
         control,
@@ -180,7 +181,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn peers(&self) -> MutexGuard<'_, IndexMap<SocketAddrV4, PeerBalancer>> {
+    fn peers(&self) -> MutexGuard<'_, BalancerTable> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -290,72 +291,95 @@
     }
 
     async fn send_probes(&self) {
+        let now_ms = self.now_ms();
         let probes: Vec<(SocketAddrV4, Probe)> = {
-            let state = self.state();
-            let probe = |agent: KnownAgent<'_>| (agent.control, self.probe_for(&state, agent));
-            state.targets.all().map(probe).collect()
+            let peers = self.peers();
+            let zone = &self.settings.node.availability_zone;
+            let mut state = self.state();
+            let keeps = |agent, agent_zone: &str| agent_zone == zone && peers.keeps(agent, now_ms);
+            let due = state.targets.take_due_probes(keeps, now_ms);
+            let agents = due.into_iter().filter_map(|data| state.targets.agent(data));
+            agents.map(|agent| (agent.control, self.probe_for(&state, agent))).collect()
         };
         for (control, probe) in probes {
             self.send_control(&NodeMessage::Probe(probe), control).await;
         }
     }
 
+    /// Tells the balancers that should hear of this one how it sees the others and the agents.
     async fn send_state(&self) {
         let now_ms = self.now_ms();
-        let peers: Vec<SocketAddrV4> = self.peers().keys().copied().collect();
-        let message = {
+        let receivers = self.peers().receivers(now_ms);
+        let targets = {
             let state = self.state();
-            NodeMessage::Balancer(message::BalancerState {
-                control: self.settings.node.control_address,
-                exchange: self.settings.exchange_address,
-                lifetime: self.lifetime,
-                revision: state.routing.newest_change(),
-                balancers: peers.clone(),
-                targets: state
-                    .targets
-                    .heard(now_ms)
-                    .map(|agent| (agent.data, agent.control, agent.zone.to_owned()))
-                    .collect(),
-                is_stopping: self.is_stopping.load(Ordering::Relaxed),
-            })
+            state.targets.news(now_ms).map(|(status, age_ms)| (status.clone(), age_ms)).collect()
         };
-        for peer in peers {
-            self.send_control(&message, peer).await;
-        }
+        self.tell(&receivers, targets).await;
     }
 
-    fn learn_balancer(&self, control: SocketAddrV4, exchange: Option<SocketAddrV4>) {
-        if control == self.settings.node.control_address {
-            return;
-        }
+    /// Tells everybody at once of an agent that has changed.
+    async fn spread(&self, status: TargetStatus) {
+        let receivers = self.peers().all_heard(self.now_ms());
+        self.tell(&receivers, vec![(status, 0)]).await;
+    }
+
+    async fn tell(&self, receivers: &[SocketAddrV4], targets: Vec<(TargetStatus, u64)>) {
         let now_ms = self.now_ms();
-        let fresh = PeerBalancer { exchange: None, revision: 0, heard_ms: now_ms };
-        let mut peers = self.peers();
-        let peer = peers.entry(control).or_insert(fresh);
-        peer.exchange = exchange.or(peer.exchange);
+        let message = NodeMessage::Balancer(message::BalancerState {
+            control: self.settings.node.control_address,
+            exchange: self.settings.exchange_address,
+            lifetime: self.lifetime,
+            zone: self.settings.node.availability_zone.clone(),
+            newest_change: self.state().routing.newest_change(),
+            balancers: self.peers().news(now_ms).collect(),
+            targets,
+            is_stopping: self.is_stopping.load(Ordering::Relaxed),
+        });
+        let datagram = message.encode();
+        for receiver in receivers {
+            send(&self.control, &datagram, *receiver).await;
+        }
     }
 
     fn take_balancer(&self, message: message::BalancerState) {
         let now_ms = self.now_ms();
-        self.learn_balancer(message.control, Some(message.exchange));
         {
             let mut peers = self.peers();
+            for news in &message.balancers {
+                peers.hear(news, now_ms);
+            }
             if message.is_stopping {
-                peers.shift_remove(&message.control);
-            } else if let Some(peer) = peers.get_mut(&message.control) {
-                peer.heard_ms = now_ms;
-                peer.revision = message.revision;
+                peers.leave(message.control);
+            } else {
+                let sender = BalancerNews {
+                    control: message.control,
+                    exchange: message.exchange,
+                    zone: message.zone,
+                    newest_change: message.newest_change,
+                    age_ms: 0,
+                };
+                peers.hear(&sender, now_ms);
             }
         }
-        for balancer in message.balancers {
-            self.learn_balancer(balancer, None);
+        for (status, age_ms) in message.targets {
+            self.take_status(status, age_ms);
         }
-        let mut state = self.state();
-        for (data, control, zone) in message.targets {
-            if state.targets.learn(data, control, &zone, now_ms) {
-                self.probe_soon.notify_one();
-            }
+    }
+
+    /// Takes over a status; says whether it tells something new.
+    fn take_status(&self, status: TargetStatus, age_ms: u64) -> bool {
+        let now_ms = self.now_ms();
+        let (data, lifetime, phase) = (status.data, status.lifetime, status.phase);
+        let is_stopping = status.is_stopping;
+        let is_changed = self.state().targets.update(status, age_ms, now_ms);
+        if is_changed {
+            log_event!(
+                Event::TargetChanged,
+                "agent={data} phase={phase:?} stopping={is_stopping} lifetime={lifetime:x} \
+                 age_ms={age_ms}"
+            );
         }
+        is_changed
     }
 }
 
@@ -392,50 +416,6 @@
     }
 }
 
-struct NodeFollowing(Arc<Shared>);
-
-impl NodeFollowing {
-    fn take(&self, value: &StoreValue) {
-        let Some(entry) = NodeEntry::decode(&value.value) else {
-            log_event!(Event::StoreValueInvalid, "key={}", value.key);
-            return;
-        };
-        if value.key.starts_with(TARGETS_PREFIX) {
-            let now_ms = self.0.now_ms();
-            let is_new =
-                self.0.state().targets.learn(entry.data, entry.control, &entry.zone, now_ms);
-            if is_new {
-                self.0.probe_soon.notify_one();
-            }
-        } else if value.key.starts_with(BALANCERS_PREFIX) {
-            self.0.learn_balancer(entry.control, Some(entry.data));
-        }
-    }
-}
-
-impl Following for NodeFollowing {
-    fn take_snapshot(&self, snapshot: &StoreSnapshot) {
-        for value in &snapshot.values {
-            self.take(value);
-        }
-    }
-
-    fn take_changes(&self, changes: &[StoreChange]) {
-        for change in changes {
-            match change {
-                StoreChange::Written(value) => self.take(value),
-                StoreChange::Removed { key, .. } => {
-                    let data = key.strip_prefix(TARGETS_PREFIX).and_then(|text| text.parse().ok());
-                    if let Some(data) = data {
-                        let now_ms = self.0.now_ms();
-                        self.0.state().targets.forget(data, now_ms);
-                    }
-                }
-            }
-        }
-    }
-}
-
 /// Pause after a change of the configuration, of the three seconds in which it must be in force.
 const OPERATOR_PAUSE: Duration = Duration::from_millis(150);
 
@@ -443,10 +423,6 @@
 /// is for its late answer and for reading everything again.
 const WATCH_SHARE_PERCENT: u64 = 60;
 
-/// Nodes find each other through seeds and peers as well.
-const NODE_PACE: Pace =
-    Pace { longest_wait: Duration::from_secs(10), pause: Duration::from_millis(1_500) };
-
 async fn follow_operators(shared: Arc<Shared>) {
     let prefix = shared.platform.operator_items.prefix();
     let store = Arc::clone(&shared.platform.store);
@@ -456,9 +432,71 @@
     follower::follow(store, prefix, pace, &OperatorFollowing(shared)).await;
 }
 
+/// Time between two looks of the first balancer at entries that were left behind.
+const COLLECT_INTERVAL: Duration = Duration::from_secs(60);
+
+/// First and longest wait after a failed read of the nodes, in milliseconds.
+const NODES_RETRY_MS: (u64, u64) = (100, 1_000);
+
+/// Reads the nodes once; later ones make themselves known. Then removes, where this balancer is the
+/// first, the entries of nodes that do not come back.
 async fn follow_nodes(shared: Arc<Shared>) {
-    let store = Arc::clone(&shared.platform.store);
-    follower::follow(store, OWN_PREFIX, NODE_PACE, &NodeFollowing(shared)).await;
+    let (mut wait_ms, longest_ms) = NODES_RETRY_MS;
+    let store = &shared.platform.store;
+    loop {
+        match store.range(OWN_PREFIX).await {
+            Ok(snapshot) => {
+                snapshot.values.iter().for_each(|value| take_node(&shared, value));
+                shared.probe_soon.notify_one();
+                break;
+            }
+            Err(error) => log_event!(Event::StoreFailed, "call=nodes {error}"),
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
+        wait_ms = longest_ms.min(wait_ms * 2);
+    }
+    loop {
+        sleep(COLLECT_INTERVAL).await;
+        if shared.peers().is_first(shared.now_ms())
+            && let Err(error) = collect_entries(&shared).await
+        {
+            log_event!(Event::StoreFailed, "call=collect {error}");
+        }
+    }
+}
+
+fn take_node(shared: &Shared, value: &StoreValue) {
+    let Some(entry) = NodeEntry::decode(&value.value) else {
+        log_event!(Event::StoreValueInvalid, "key={}", value.key);
+        return;
+    };
+    let now_ms = shared.now_ms();
+    if value.key.starts_with(TARGETS_PREFIX) {
+        shared.state().targets.learn(entry.data, entry.control, &entry.zone, now_ms);
+    } else if value.key.starts_with(BALANCERS_PREFIX) {
+        shared.peers().learn(entry.control, entry.data, &entry.zone, now_ms);
+    }
+}
+
+/// Removes the entries of nodes that nobody has heard for long, if nobody has written them since.
+async fn collect_entries(shared: &Shared) -> Result<(), StoreError> {
+    let store = &shared.platform.store;
+    for value in store.range(OWN_PREFIX).await?.values {
+        let now_ms = shared.now_ms();
+        let is_over = match NodeEntry::decode(&value.value) {
+            None => true,
+            Some(entry) if value.key.starts_with(TARGETS_PREFIX) => {
+                shared.state().targets.agent(entry.data).is_none()
+            }
+            Some(entry) => shared.peers().is_forgotten(entry.control, now_ms),
+        };
+        if is_over {
+            let condition = Unchanged { key: value.key.clone(), revision: value.revision };
+            store.remove(std::slice::from_ref(&condition), &value.key).await?;
+            log_event!(Event::EntryRemoved, "key={}", value.key);
+        }
+    }
+    Ok(())
 }
 
 async fn register(shared: Arc<Shared>) {
@@ -487,7 +525,7 @@
         sleep(CATCH_UP_INTERVAL).await;
         let now_ms = shared.now_ms();
         let own = shared.state().routing.newest_change();
-        let is_behind = own == 0 || shared.peers().values().any(|peer| peer.revision > own);
+        let is_behind = own == 0 || !shared.peers().ahead_of(own).is_empty();
         if !is_behind {
             behind_since_ms = None;
             continue;
@@ -514,12 +552,7 @@
 
 /// Balancers that know more than this one; the seeds as well while it knows nothing.
 fn sources(shared: &Shared, own_revision: u64) -> Vec<SocketAddrV4> {
-    let mut sources: Vec<SocketAddrV4> = shared
-        .peers()
-        .values()
-        .filter(|peer| peer.revision > own_revision)
-        .filter_map(|peer| peer.exchange)
-        .collect();
+    let mut sources = shared.peers().ahead_of(own_revision);
     if own_revision == 0 {
         let own = shared.settings.exchange_address;
         sources.extend(shared.seeds.current().into_iter().filter(|seed| *seed != own));
@@ -622,12 +655,8 @@
         let now_ms = shared.now_ms();
         match NodeMessage::decode(&buffer[..length]) {
             Some(NodeMessage::Status(status)) => {
-                let details = format!(
-                    "agent={} service={} phase={:?} stopping={} lifetime={:x}",
-                    status.data, status.service, status.phase, status.is_stopping, status.lifetime
-                );
-                if shared.state().targets.update(status, now_ms) {
-                    log_event!(Event::TargetChanged, "{details}");
+                if shared.take_status(status.clone(), 0) {
+                    shared.spread(status).await;
                 }
             }
             Some(NodeMessage::Found(flow, holder)) => {
@@ -683,5 +712,5 @@
     for data in silent {
         state.targets.forget(data, now_ms);
     }
-    shared.peers().retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < ENTRY_SILENCE_MS);
+    shared.peers().expire(now_ms);
 }
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -9,6 +9,7 @@
 use crate::connection::flow_key::unpack_address;
 use crate::connection::target_gate::GateLimits;
 use crate::connection::target_gate::TargetPhase;
+use crate::version::balancer_table::BalancerNews;
 use crate::version::target_table::TargetStatus;
 use crate::wire;
 use crate::wire::node_message::Kind;
@@ -39,12 +40,14 @@
     pub exchange: SocketAddrV4,
     /// Random number of this run.
     pub lifetime: u64,
+    /// Availability zone.
+    pub zone: String,
     /// Revision of the newest change that is in force there.
-    pub revision: u64,
-    /// Control addresses of balancers that it hears.
-    pub balancers: Vec<SocketAddrV4>,
-    /// Agents that it hears: data address, control address, zone.
-    pub targets: Vec<(SocketAddrV4, SocketAddrV4, String)>,
+    pub newest_change: u64,
+    /// Balancers that it hears or is told of.
+    pub balancers: Vec<BalancerNews>,
+    /// Agents that it hears or is told of, with the age of their status in milliseconds.
+    pub targets: Vec<(TargetStatus, u64)>,
     /// Whether it stops.
     pub is_stopping: bool,
 }
@@ -180,33 +183,53 @@
 }
 
 fn balancer_to_wire(state: &BalancerState) -> wire::BalancerState {
-    let target = |(data, control, zone): &(SocketAddrV4, SocketAddrV4, String)| wire::NodeAddress {
-        data: pack_address(*data),
-        control: pack_address(*control),
-        zone: zone.clone(),
+    let balancer = |news: &BalancerNews| wire::BalancerNews {
+        control: pack_address(news.control),
+        exchange: pack_address(news.exchange),
+        zone: news.zone.clone(),
+        newest_change: news.newest_change,
+        age_ms: age_to_wire(news.age_ms),
+    };
+    let target = |(status, age_ms): &(TargetStatus, u64)| wire::TargetNews {
+        status: Some(status_to_wire(status)),
+        age_ms: age_to_wire(*age_ms),
     };
     wire::BalancerState {
         control: pack_address(state.control),
         exchange: pack_address(state.exchange),
         lifetime: state.lifetime,
-        configuration_revision: state.revision,
-        balancers: state.balancers.iter().copied().map(pack_address).collect(),
+        newest_change: state.newest_change,
+        zone: state.zone.clone(),
+        balancers: state.balancers.iter().map(balancer).collect(),
         targets: state.targets.iter().map(target).collect(),
         stopping: state.is_stopping,
     }
 }
 
 fn balancer_from_wire(state: wire::BalancerState) -> Option<BalancerState> {
-    let target = |target: wire::NodeAddress| {
-        Some((unpack_address(target.data)?, unpack_address(target.control)?, target.zone))
+    let balancer = |news: wire::BalancerNews| {
+        Some(BalancerNews {
+            control: unpack_address(news.control)?,
+            exchange: unpack_address(news.exchange)?,
+            zone: news.zone,
+            newest_change: news.newest_change,
+            age_ms: u64::from(news.age_ms),
+        })
     };
+    let target =
+        |news: wire::TargetNews| Some((status_from_wire(news.status?)?, u64::from(news.age_ms)));
     Some(BalancerState {
         control: unpack_address(state.control)?,
         exchange: unpack_address(state.exchange)?,
         lifetime: state.lifetime,
-        revision: state.configuration_revision,
-        balancers: state.balancers.into_iter().map(unpack_address).collect::<Option<_>>()?,
+        zone: state.zone,
+        newest_change: state.newest_change,
+        balancers: state.balancers.into_iter().map(balancer).collect::<Option<_>>()?,
         targets: state.targets.into_iter().map(target).collect::<Option<_>>()?,
         is_stopping: state.stopping,
     })
 }
+
+fn age_to_wire(age_ms: u64) -> u32 {
+    u32::try_from(age_ms).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/version/balancer_table.rs
@@ -0,0 +1,179 @@
+//! A balancer's view of the other balancers, and who of them does what.
+//!
+//! An agent is probed by a few balancers of its own zone, its keepers; the others hear of it from
+//! them. Between two zones only a few balancers talk, the first of each by address. So the datagrams
+//! of a node grow with its zone and not with the product of all balancers and agents. The size at which
+//! a zone outgrows this is in `docs/CAPACITY.md`.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use crate::version::hash::hash64;
+use crate::version::hash::hash64_with_seed;
+
+/// Balancers of its zone that probe an agent.
+pub const KEEPERS: usize = 3;
+
+/// Pairs of balancers that talk between two zones: one may be lost without a word.
+const PAIRS: usize = 2;
+
+/// Silence after which a balancer has no part in the work, in milliseconds: three states are missing.
+const SILENCE_MS: u64 = 2_000;
+
+/// Silence after which a balancer is forgotten, in milliseconds.
+const FORGET_MS: u64 = 60_000;
+
+/// What one balancer tells of another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BalancerNews {
+    /// Control address.
+    pub control: SocketAddrV4,
+    /// Address of its exchange of configuration.
+    pub exchange: SocketAddrV4,
+    /// Availability zone.
+    pub zone: String,
+    /// Revision of the newest change that is in force there.
+    pub newest_change: u64,
+    /// Time since it was heard, in milliseconds.
+    pub age_ms: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    exchange: SocketAddrV4,
+    zone: String,
+    newest_change: u64,
+    heard_ms: Option<u64>,
+    known_since_ms: u64,
+}
+
+/// The other balancers, by control address.
+#[derive(Debug)]
+pub struct BalancerTable {
+    own: SocketAddrV4,
+    zone: String,
+    peers: IndexMap<SocketAddrV4, Peer>,
+}
+
+impl BalancerTable {
+    /// Knows nobody yet.
+    pub fn new(own: SocketAddrV4, zone: &str) -> BalancerTable {
+        BalancerTable { own, zone: zone.to_owned(), peers: IndexMap::new() }
+    }
+
+    /// Learns of a balancer that nobody has heard yet.
+    pub fn learn(
+        &mut self,
+        control: SocketAddrV4,
+        exchange: SocketAddrV4,
+        zone: &str,
+        now_ms: u64,
+    ) {
+        if control == self.own || self.peers.contains_key(&control) {
+            return;
+        }
+        let peer = Peer {
+            exchange,
+            zone: zone.to_owned(),
+            newest_change: 0,
+            heard_ms: None,
+            known_since_ms: now_ms,
+        };
+        self.peers.insert(control, peer);
+    }
+
+    /// Takes over what is told of a balancer, by itself or by another.
+    pub fn hear(&mut self, news: &BalancerNews, now_ms: u64) {
+        self.learn(news.control, news.exchange, &news.zone, now_ms);
+        let Some(peer) = self.peers.get_mut(&news.control) else {
+            return;
+        };
+        let heard_ms = now_ms.saturating_sub(news.age_ms);
+        if peer.heard_ms.is_none_or(|held_ms| heard_ms >= held_ms) {
+            peer.heard_ms = Some(heard_ms);
+            peer.newest_change = news.newest_change;
+        }
+    }
+
+    /// A balancer stops.
+    pub fn leave(&mut self, control: SocketAddrV4) {
+        self.peers.shift_remove(&control);
+    }
+
+    /// What is known of the balancers that were heard lately.
+    pub fn news(&self, now_ms: u64) -> impl Iterator<Item = BalancerNews> {
+        self.heard(now_ms).map(move |(control, peer)| BalancerNews {
+            control: *control,
+            exchange: peer.exchange,
+            zone: peer.zone.clone(),
+            newest_change: peer.newest_change,
+            age_ms: now_ms.saturating_sub(peer.heard_ms.unwrap_or(0)),
+        })
+    }
+
+    /// Whether this balancer probes an agent of its zone.
+    pub fn keeps(&self, agent: SocketAddrV4, now_ms: u64) -> bool {
+        let id = hash64(agent.to_string().as_bytes());
+        let score = |balancer: &SocketAddrV4| hash64_with_seed(balancer.to_string().as_bytes(), id);
+        let own_score = score(&self.own);
+        let in_zone = self.heard(now_ms).filter(|(_, peer)| peer.zone == self.zone);
+        in_zone.filter(|(control, _)| score(control) > own_score).count() < KEEPERS
+    }
+
+    /// Balancers to tell of this one's state: all of its zone, those that nobody has heard yet, and one
+    /// of each other zone where this balancer is among the first of its own.
+    pub fn receivers(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let unheard = self.peers.iter().filter(|(_, peer)| peer.heard_ms.is_none());
+        let mut receivers: Vec<SocketAddrV4> = unheard.map(|(control, _)| *control).collect();
+        let mut zones: IndexMap<&str, Vec<SocketAddrV4>> = IndexMap::new();
+        for (control, peer) in self.heard(now_ms) {
+            zones.entry(&peer.zone).or_default().push(*control);
+        }
+        let mates = zones.shift_remove(self.zone.as_str()).unwrap_or_default();
+        let rank = mates.iter().filter(|control| **control < self.own).count();
+        receivers.extend(mates);
+        if rank < PAIRS {
+            for mut others in zones.into_values() {
+                others.sort_unstable();
+                receivers.push(others[rank % others.len()]);
+            }
+        }
+        receivers
+    }
+
+    /// All balancers that were heard lately.
+    pub fn all_heard(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        self.heard(now_ms).map(|(control, _)| *control).collect()
+    }
+
+    /// Exchange addresses of the balancers at which a newer change is in force.
+    pub fn ahead_of(&self, newest_change: u64) -> Vec<SocketAddrV4> {
+        let ahead = self.peers.values().filter(|peer| peer.newest_change > newest_change);
+        ahead.map(|peer| peer.exchange).collect()
+    }
+
+    /// Whether this balancer is the first of all by address, which does what one must do.
+    pub fn is_first(&self, now_ms: u64) -> bool {
+        self.heard(now_ms).all(|(control, _)| *control > self.own)
+    }
+
+    /// Whether a balancer has been silent for so long that its entry may go.
+    pub fn is_forgotten(&self, control: SocketAddrV4, now_ms: u64) -> bool {
+        control != self.own && self.peers.get(&control).is_none_or(|peer| is_over(peer, now_ms))
+    }
+
+    /// Forgets balancers after a long silence.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.peers.retain(|_, peer| !is_over(peer, now_ms));
+    }
+
+    fn heard(&self, now_ms: u64) -> impl Iterator<Item = (&SocketAddrV4, &Peer)> {
+        let is_heard = move |heard_ms| now_ms.saturating_sub(heard_ms) < SILENCE_MS;
+        self.peers.iter().filter(move |(_, peer)| peer.heard_ms.is_some_and(is_heard))
+    }
+}
+
+fn is_over(peer: &Peer, now_ms: u64) -> bool {
+    now_ms.saturating_sub(peer.heard_ms.unwrap_or(peer.known_since_ms)) > FORGET_MS
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! What is known in one version, and how versions merge. No I/O, no clock, no task.
 
+pub mod balancer_table;
 pub mod digest;
 pub mod hash;
 pub mod keeper;
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -12,9 +12,14 @@
 use crate::version::hash::hash64_with_seed;
 use crate::version::routing::Routing;
 
-/// Silence after which an agent is tried last, in milliseconds: four answers to probes are missing.
+/// Time for which an agent that is probed leaves probes unanswered before it counts as silent, in
+/// milliseconds: four answers are missing.
 pub const SILENCE_MS: u64 = 1_200;
 
+/// Age of what others tell of an agent, in milliseconds, from which this balancer probes it itself:
+/// three states are missing.
+const STALE_MS: u64 = 2_000;
+
 /// How long an agent that stops is waited for, in milliseconds: the platform's grace of six seconds
 /// and two to start again.
 pub const HOLD_MS: u64 = 8_000;
@@ -85,6 +90,8 @@
     zone: String,
     known_since_ms: u64,
     heard_ms: Option<u64>,
+    /// Time of the first probe of this balancer since then.
+    probed_ms: Option<u64>,
     status: Option<TargetStatus>,
     past_lifetimes: Vec<u64>,
     awaited_until_ms: u64,
@@ -143,6 +150,7 @@
             zone: zone.to_owned(),
             known_since_ms: now_ms,
             heard_ms: None,
+            probed_ms: None,
             status: None,
             past_lifetimes: Vec::new(),
             awaited_until_ms: 0,
@@ -152,13 +160,15 @@
         true
     }
 
-    /// Takes over a status. Says whether anything but load has changed.
-    pub fn update(&mut self, status: TargetStatus, now_ms: u64) -> bool {
+    /// Takes over a status that the agent sent `age_ms` ago. Says whether anything but load has
+    /// changed.
+    pub fn update(&mut self, status: TargetStatus, age_ms: u64, now_ms: u64) -> bool {
         self.learn(status.data, status.control, &status.zone, now_ms);
         let entry = &mut self.targets[&status.data];
         if entry.past_lifetimes.contains(&status.lifetime) {
             return false;
         }
+        let heard_ms = now_ms.saturating_sub(age_ms);
         let mut is_changed = true;
         if let Some(held) = &entry.status {
             if held.lifetime == status.lifetime {
@@ -175,7 +185,10 @@
                 }
             }
         }
-        entry.heard_ms = Some(now_ms);
+        entry.heard_ms = entry.heard_ms.max(Some(heard_ms));
+        if entry.probed_ms.is_some_and(|probed_ms| probed_ms <= heard_ms) {
+            entry.probed_ms = None;
+        }
         entry.awaited_until_ms = if status.is_stopping { now_ms + HOLD_MS } else { 0 };
         entry.control = status.control;
         entry.zone.clone_from(&status.zone);
@@ -191,23 +204,45 @@
         }
     }
 
-    /// This process stood still: silence up to now proves nothing.
-    pub fn note_stall(&mut self, now_ms: u64) {
-        self.excused_until_ms = now_ms + SILENCE_MS;
+    /// Agents that this balancer probes now: those it keeps, and those of which it has heard nothing
+    /// for a while. Their silence counts from here on.
+    pub fn take_due_probes(
+        &mut self,
+        keeps: impl Fn(SocketAddrV4, &str) -> bool,
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4> {
+        let mut due = Vec::new();
+        for (data, entry) in &mut self.targets {
+            let is_stale =
+                entry.heard_ms.is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > STALE_MS);
+            if is_stale || keeps(*data, &entry.zone) {
+                entry.probed_ms.get_or_insert(now_ms);
+                due.push(*data);
+            }
+        }
+        due
     }
 
-    /// All agents that are known.
-    pub fn all(&self) -> impl Iterator<Item = KnownAgent<'_>> {
-        self.targets.iter().map(|(data, entry)| KnownAgent {
-            data: *data,
-            control: entry.control,
-            zone: &entry.zone,
+    /// Where an agent is.
+    pub fn agent(&self, data: SocketAddrV4) -> Option<KnownAgent<'_>> {
+        let entry = self.targets.get(&data)?;
+        Some(KnownAgent { data, control: entry.control, zone: &entry.zone })
+    }
+
+    /// Statuses of the agents that were heard lately, with their age in milliseconds, to tell others.
+    pub fn news(&self, now_ms: u64) -> impl Iterator<Item = (&TargetStatus, u64)> {
+        self.targets.values().filter_map(move |entry| {
+            let age_ms = now_ms.saturating_sub(entry.heard_ms?);
+            (age_ms < STALE_MS).then_some((entry.status.as_ref()?, age_ms))
         })
     }
 
-    /// The agents that are heard.
-    pub fn heard(&self, now_ms: u64) -> impl Iterator<Item = KnownAgent<'_>> {
-        self.all().filter(move |agent| self.liveness(agent.data, now_ms) == Some(Liveness::Alive))
+    /// This process stood still: silence up to now proves nothing.
+    pub fn note_stall(&mut self, now_ms: u64) {
+        for entry in self.targets.values_mut() {
+            entry.probed_ms = None;
+        }
+        self.excused_until_ms = now_ms + SILENCE_MS;
     }
 
     /// Data addresses of agents that have been silent for `silence_ms`.
@@ -306,12 +341,18 @@
             let is_awaited = now_ms < entry.awaited_until_ms;
             return if is_awaited { Liveness::Awaited } else { Liveness::Silent };
         }
-        match entry.heard_ms {
-            Some(heard_ms) if now_ms.saturating_sub(heard_ms) < SILENCE_MS => Liveness::Alive,
-            Some(_) if now_ms < self.excused_until_ms => Liveness::Awaited,
-            Some(_) => Liveness::Silent,
+        let age_ms = entry.heard_ms.map(|heard_ms| now_ms.saturating_sub(heard_ms));
+        let unanswered_ms = entry.probed_ms.map(|probed_ms| now_ms.saturating_sub(probed_ms));
+        match age_ms {
             None if now_ms.saturating_sub(entry.known_since_ms) < UNHEARD_MS => Liveness::Awaited,
             None => Liveness::Silent,
+            Some(age_ms) if age_ms < SILENCE_MS => Liveness::Alive,
+            Some(_) if unanswered_ms.is_some_and(|waited_ms| waited_ms >= SILENCE_MS) => {
+                Liveness::Silent
+            }
+            Some(_) if now_ms < self.excused_until_ms => Liveness::Awaited,
+            Some(age_ms) if age_ms < STALE_MS + SILENCE_MS => Liveness::Alive,
+            Some(_) => Liveness::Awaited,
         }
     }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -389,15 +389,38 @@
     #[prost(fixed64, tag = "3")]
     pub lifetime: u64,
     #[prost(uint64, tag = "4")]
-    pub configuration_revision: u64,
-    /// Control addresses of nodes that the sender hears.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub balancers: ::prost::alloc::vec::Vec<u64>,
+    pub newest_change: u64,
+    #[prost(string, tag = "5")]
+    pub zone: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "6")]
-    pub targets: ::prost::alloc::vec::Vec<NodeAddress>,
-    #[prost(bool, tag = "7")]
+    pub balancers: ::prost::alloc::vec::Vec<BalancerNews>,
+    #[prost(message, repeated, tag = "7")]
+    pub targets: ::prost::alloc::vec::Vec<TargetNews>,
+    #[prost(bool, tag = "8")]
     pub stopping: bool,
 }
+/// What a balancer tells of another one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BalancerNews {
+    #[prost(fixed64, tag = "1")]
+    pub control: u64,
+    #[prost(fixed64, tag = "2")]
+    pub exchange: u64,
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub newest_change: u64,
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+}
+/// What a balancer tells of an agent.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetNews {
+    #[prost(message, optional, tag = "1")]
+    pub status: ::core::option::Option<TargetStatus>,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
 /// Addresses of an agent, where nothing more is known of it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NodeAddress {
