An agent that has seen the whole life of its target answers for it; copies of a request are no new work

Cause looked for: recovery after power loss on the grown sites, where each search for a lost flow goes through all targets.

--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -12,16 +12,36 @@
 /// for up to 1.6 s, are not searched for elsewhere.
 const ENDED_MEMORY_MS: u64 = 5_000;
 
+/// Time without a segment, in milliseconds, after which a caller no longer waits: it sends its request
+/// again after 1.6 s at the latest.
+const BUSY_MS: u64 = 2_000;
+
+/// Idle time, in milliseconds, before which no flow is forgotten: the platform's `flow_ttl_s`, after
+/// which the target may forget it too.
+const MIN_IDLE_MS: u64 = 60_000;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct HeldFlow {
     answered: bool,
     is_busy: bool,
     caller_ended: bool,
     target_ended: bool,
+    /// End of the caller's data so far, as a position in its byte stream.
+    caller_end: Option<u32>,
     seen_ms: u64,
 }
 
 impl HeldFlow {
+    /// Notes data of the caller, and says whether it is no copy of earlier data.
+    fn take_data(&mut self, segment: &Segment) -> bool {
+        let end = segment.sequence.wrapping_add(u32::from(segment.payload_bytes));
+        let is_new = self.caller_end.is_none_or(|held| end.wrapping_sub(held) as i32 > 0);
+        if is_new && segment.payload_bytes > 0 {
+            self.caller_end = Some(end);
+        }
+        is_new && segment.payload_bytes > 0
+    }
+
     fn has_ended(&self) -> bool {
         self.caller_ended && self.target_ended
     }
@@ -83,7 +103,7 @@
         self.change(segment.flow, |held| {
             held.seen_ms = now_ms;
             held.caller_ended |= segment.ends;
-            held.is_busy |= segment.payload_bytes > 0;
+            held.is_busy |= held.take_data(segment);
             if segment.resets {
                 held.caller_ended = true;
                 held.target_ended = true;
@@ -116,12 +136,22 @@
         *self = HeldFlows::new();
     }
 
-    /// Drops ended flows after a while, and others after `idle_ms` without a segment.
+    /// Drops ended flows after a while, and others after `idle_ms` without a segment, or a minute.
     pub fn expire(&mut self, now_ms: u64, idle_ms: u64) {
         let is_over = |held: &HeldFlow| {
-            let limit_ms = if held.has_ended() { ENDED_MEMORY_MS } else { idle_ms };
+            let limit_ms =
+                if held.has_ended() { ENDED_MEMORY_MS } else { idle_ms.max(MIN_IDLE_MS) };
             now_ms.saturating_sub(held.seen_ms) > limit_ms
         };
+        let stuck: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, held)| held.is_busy && now_ms.saturating_sub(held.seen_ms) > BUSY_MS)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in stuck {
+            self.change(flow, |held| held.is_busy = false);
+        }
         let over: Vec<FlowKey> =
             self.flows.iter().filter(|(_, held)| is_over(held)).map(|(flow, _)| *flow).collect();
         for flow in over {
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -23,6 +23,8 @@
     pub id: String,
     /// Start of this life, in Unix milliseconds.
     pub started_ms: u64,
+    /// Time since then when the report arrived, in milliseconds of the time of day.
+    pub age_ms: u64,
     /// Number of this report in this life.
     pub sequence: u64,
     /// Service that it runs.
@@ -139,6 +141,8 @@
 pub struct TargetGate {
     life: Option<Life>,
     past_lives: VecDeque<(String, u64)>,
+    is_whole: bool,
+    report_interval_ms: u64,
     silence_ms: u64,
     distrust_before_ms: u64,
     is_zone_out: bool,
@@ -146,16 +150,22 @@
     cold_openings_ms: VecDeque<u64>,
 }
 
+/// Age of a life, in percent of the time between two reports, up to which no earlier report of it can
+/// have been confirmed: the next one would not have come yet.
+const UNCONFIRMED_PERCENT: u64 = 50;
+
 /// Past lives of the target that are remembered, so that late reports of theirs are told apart.
 const MAX_PAST_LIVES: usize = 16;
 
 impl TargetGate {
     /// Creates a gate that has heard nothing. A target that is silent for `silence_ms` takes no
     /// opening: its address may already belong to another service.
-    pub fn new(silence_ms: u64) -> TargetGate {
+    pub fn new(silence_ms: u64, report_interval_ms: u64) -> TargetGate {
         TargetGate {
             life: None,
             past_lives: VecDeque::new(),
+            is_whole: false,
+            report_interval_ms,
             silence_ms,
             distrust_before_ms: 0,
             is_zone_out: false,
@@ -194,6 +204,8 @@
             }
         };
         if outcome == ReportOutcome::NewLife {
+            let bound_ms = self.report_interval_ms * UNCONFIRMED_PERCENT / 100;
+            self.is_whole = self.life.is_some() || report.age_ms < bound_ms;
             self.remember_past_life();
         }
         self.life = Some(Life { report, heard_ms: now_ms, cold_until_ms, has_ended: false });
@@ -255,6 +267,13 @@
         self.life.as_ref().map(|life| now_ms.saturating_sub(life.heard_ms))
     }
 
+    /// Whether this process has seen the known life of the target from its start, and so every flow of
+    /// it: all segments to a target pass its agent. Either it knew the life before, or it got the first
+    /// report that was confirmed.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
     /// Whether the known life of the target has ended.
     pub fn has_ended(&self) -> bool {
         self.life.as_ref().is_some_and(|life| life.has_ended)
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -76,9 +76,9 @@
 
 impl AgentState {
     /// Knows nothing yet. See [`TargetGate::new`] for `silence_ms`.
-    pub fn new(silence_ms: u64, now_ms: u64) -> AgentState {
+    pub fn new(silence_ms: u64, report_interval_ms: u64, now_ms: u64) -> AgentState {
         AgentState {
-            gate: TargetGate::new(silence_ms),
+            gate: TargetGate::new(silence_ms, report_interval_ms),
             flows: HeldFlows::new(),
             given: vec![None; SLOTS as usize],
             next_slot: 1,
@@ -109,7 +109,8 @@
             return self.open(segment, way, now_ms);
         }
         let holding = self.flows.holding(&segment.flow);
-        if self.is_target_gone(now_ms) {
+        let is_unheld = holding == Holding::Unknown && self.gate.is_whole();
+        if is_unheld || self.is_target_gone(now_ms) {
             return self.go_on(segment, way, None);
         }
         let asks = way.report_to.filter(|_| way.search != 0);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -290,14 +290,14 @@
         }
     }
 
-    async fn send_probes(&self) {
+    async fn send_probes(&self, is_round: bool) {
         let now_ms = self.now_ms();
         let probes: Vec<(SocketAddrV4, Probe)> = {
             let peers = self.peers();
             let zone = &self.settings.node.availability_zone;
             let mut state = self.state();
             let keeps = |agent, agent_zone: &str| agent_zone == zone && peers.keeps(agent, now_ms);
-            let due = state.targets.take_due_probes(keeps, now_ms);
+            let due = state.targets.take_due_probes(is_round, keeps, now_ms);
             let agents = due.into_iter().filter_map(|data| state.targets.agent(data));
             agents.map(|agent| (agent.control, self.probe_for(&state, agent))).collect()
         };
@@ -613,8 +613,14 @@
         Forwarding::Drop(DropReason::Searching) => {}
         Forwarding::Drop(reason) => {
             let flow = segment.flow;
-            let details = format!("caller={} route={}", flow.caller, flow.service);
-            log_event!(Event::SegmentDropped, "reason={} {details}", reason.as_str());
+            let unanswering = shared.state().targets.unanswering(shared.now_ms());
+            log_event!(
+                Event::SegmentDropped,
+                "reason={} caller={} route={} unanswering={unanswering:?}",
+                reason.as_str(),
+                flow.caller,
+                flow.service
+            );
         }
     }
 }
@@ -679,20 +685,21 @@
     let mut last_ms = shared.now_ms();
     let (mut probed_ms, mut told_ms, mut swept_ms) = (0, 0, 0);
     loop {
-        let is_asked = tokio::select! {
-            _ = ticks.tick() => false,
-            () = shared.probe_soon.notified() => true,
-        };
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = shared.probe_soon.notified() => {}
+        }
         let now_ms = shared.now_ms();
         if now_ms - last_ms > STALL_MS {
             log_event!(Event::Stalled, "for_ms={}", now_ms - last_ms);
             shared.state().targets.note_stall(now_ms);
         }
         last_ms = now_ms;
-        if is_asked || now_ms - probed_ms >= PROBE_INTERVAL_MS {
+        let is_round = now_ms - probed_ms >= PROBE_INTERVAL_MS;
+        if is_round {
             probed_ms = now_ms;
-            shared.send_probes().await;
         }
+        shared.send_probes(is_round).await;
         if now_ms - told_ms >= STATE_INTERVAL_MS {
             told_ms = now_ms;
             shared.send_state().await;
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -205,9 +205,11 @@
     }
 
     /// Agents that this balancer probes now: those it keeps, and those of which it has heard nothing
-    /// for a while. Their silence counts from here on.
+    /// for a while. Their silence counts from here on. Between two rounds only those that may be
+    /// starting are probed.
     pub fn take_due_probes(
         &mut self,
+        is_round: bool,
         keeps: impl Fn(SocketAddrV4, &str) -> bool,
         now_ms: u64,
     ) -> Vec<SocketAddrV4> {
@@ -215,7 +217,9 @@
         for (data, entry) in &mut self.targets {
             let is_stale =
                 entry.heard_ms.is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > STALE_MS);
-            if is_stale || keeps(*data, &entry.zone) {
+            let is_awaited = entry.heard_ms.is_none()
+                && now_ms.saturating_sub(entry.known_since_ms) < UNHEARD_MS;
+            if is_awaited || (is_round && (is_stale || keeps(*data, &entry.zone))) {
                 entry.probed_ms.get_or_insert(now_ms);
                 due.push(*data);
             }
@@ -330,6 +334,12 @@
         search
     }
 
+    /// Agents that do not answer, and how each is seen.
+    pub fn unanswering(&self, now_ms: u64) -> Vec<(SocketAddrV4, Liveness)> {
+        let judged = self.targets.iter().map(|(data, entry)| (*data, self.judge(entry, now_ms)));
+        judged.filter(|(_, liveness)| *liveness != Liveness::Alive).collect()
+    }
+
     /// Whether every agent that is known has been heard, or is known to be silent.
     pub fn is_settled(&self, now_ms: u64) -> bool {
         self.targets.values().all(|entry| self.judge(entry, now_ms) != Liveness::Awaited)
