--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -24,6 +24,7 @@
 struct HeldFlow {
     answered: bool,
     is_busy: bool,
+    busy_since_ms: u64,
     caller_ended: bool,
     target_ended: bool,
     /// End of the caller's data so far, as a position in its byte stream.
@@ -103,7 +104,10 @@
         self.change(segment.flow, |held| {
             held.seen_ms = now_ms;
             held.caller_ended |= segment.ends;
-            held.is_busy |= held.take_data(segment);
+            if held.take_data(segment) && !held.is_busy {
+                held.is_busy = true;
+                held.busy_since_ms = now_ms;
+            }
             if segment.resets {
                 held.caller_ended = true;
                 held.target_ended = true;
@@ -111,17 +115,23 @@
         });
     }
 
-    /// Notes a segment that the target sent on one of its flows.
-    pub fn note_from_target(&mut self, segment: &Segment, now_ms: u64) {
+    /// Notes a segment that the target sent on one of its flows. Returns how long the caller has waited
+    /// for it, in milliseconds, where it begins an answer.
+    pub fn note_from_target(&mut self, segment: &Segment, now_ms: u64) -> Option<u64> {
+        let mut waited_ms = None;
         self.change(segment.flow, |held| {
             held.seen_ms = now_ms;
             held.answered |= !segment.resets;
             held.target_ended |= segment.ends || segment.resets;
             held.caller_ended |= segment.resets;
             if segment.payload_bytes > 0 || segment.resets {
+                if held.is_busy && !segment.resets {
+                    waited_ms = Some(now_ms.saturating_sub(held.busy_since_ms));
+                }
                 held.is_busy = false;
             }
         });
+        waited_ms
     }
 
     /// Forgets a flow that the target gave back.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -195,7 +195,8 @@
     }
 }
 
-fn encode_registry(registry: &Registry) -> String {
+/// Writes a registry as OpenMetrics text.
+pub fn encode_registry(registry: &Registry) -> String {
     let mut text = String::new();
     encode(&mut text, registry).expect("writing to a string does not fail");
     text
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -31,6 +31,7 @@
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
 use crate::process::events::Event;
+use crate::process::metrics::count;
 use crate::process::passthrough::BALANCERS_PREFIX;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
@@ -42,6 +43,9 @@
 use crate::process::passthrough::balancer::send;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Returned;
+use crate::process::passthrough::metrics;
+use crate::process::passthrough::metrics::MetricsSource;
+use crate::process::passthrough::metrics::PassthroughMetrics;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
 use crate::process::passthrough::seeds::Seeds;
@@ -66,6 +70,9 @@
 /// Time between the two farewells of an agent that stops.
 const FAREWELL_PAUSE: Duration = Duration::from_millis(20);
 
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+
 /// How long a balancer that does not probe is still told of changes, in milliseconds.
 const BALANCER_SILENCE_MS: u64 = 5_000;
 
@@ -80,6 +87,7 @@
     balancers: Mutex<IndexMap<SocketAddrV4, u64>>,
     is_stopping: AtomicBool,
     changed: Notify,
+    metrics: PassthroughMetrics,
     data: UdpSocket,
     control: UdpSocket,
     from_target: UdpSocket,
@@ -104,6 +112,7 @@
         balancers: Mutex::default(),
         is_stopping: AtomicBool::new(false),
         changed: Notify::new(),
+        metrics: PassthroughMetrics::new(),
         data: bind(settings.node.data_address).await?,
         control: bind(settings.node.control_address).await?,
         from_target: bind(settings.from_target_address).await?,
@@ -122,6 +131,10 @@
     .await?;
     admin::start_bare(node.ready_address, |server| surface.with_readiness(server, readiness))
         .await?;
+    if let Some(address) = node.metrics_address {
+        let source: Arc<dyn MetricsSource> = shared.clone();
+        admin::start_bare(address, |server| metrics::mount(server, source)).await?;
+    }
     tokio::spawn(read_nodes(Arc::clone(&shared)));
     tokio::spawn(read_target(Arc::clone(&shared)));
     tokio::spawn(read_control(Arc::clone(&shared)));
@@ -216,20 +229,27 @@
         let flow = segment.flow;
         match step {
             Step::GiveToTarget { slot, tell } => {
+                count(&self.metrics.segments, "to-target");
                 self.platform.segments.prepare(datagram, slot);
                 send(&self.from_target, datagram, self.settings.target_address).await;
                 if let Some(balancer) = tell {
                     self.tell_found(flow, balancer).await;
                 }
             }
-            Step::GiveToCaller { tell } => {
+            Step::GiveToCaller { tell, waited_ms } => {
+                count(&self.metrics.segments, "to-caller");
+                if let Some(waited_ms) = waited_ms {
+                    self.metrics.answers_s.observe(waited_ms as f64 / MS_PER_S);
+                }
                 self.give_to_caller(datagram, &flow).await;
                 if let Some(balancer) = tell {
                     self.tell_found(flow, balancer).await;
                 }
             }
             Step::PassOn(next, way, refused) => {
+                count(&self.metrics.segments, "passed-on");
                 if let Some(refused) = refused {
+                    count(&self.metrics.refused_openings, refused.as_str());
                     let details = format!("caller={} route={}", flow.caller, flow.service);
                     let reason = refused.as_str();
                     log_event!(Event::OpeningRefused, "reason={reason} {details} next={next}");
@@ -239,6 +259,7 @@
                 send(&self.data, out, next).await;
             }
             Step::GiveBack(balancer, search) => {
+                count(&self.metrics.segments, "given-back");
                 self.platform.segments.prepare(datagram, 0);
                 let returned = NodeMessage::Returned(Returned {
                     agent: self.settings.node.data_address,
@@ -248,6 +269,10 @@
                 send(&self.control, &returned.encode(), balancer).await;
             }
             Step::Reset(reason, refused) => {
+                count(&self.metrics.resets, reason.as_str());
+                if let Some(refused) = refused {
+                    count(&self.metrics.refused_openings, refused.as_str());
+                }
                 log_event!(
                     Event::FlowReset,
                     "reason={} refused={} caller={} route={}",
@@ -259,11 +284,23 @@
                 let reset = self.platform.segments.reset(&flow, segment.acknowledged);
                 self.give_to_caller(&reset, &flow).await;
             }
-            Step::Drop => {}
+            Step::Drop => count(&self.metrics.dropped, "ended"),
         }
     }
 }
 
+impl MetricsSource for Shared {
+    fn metrics_text(&self) -> String {
+        let (flows, busy) = {
+            let state = self.state();
+            (state.flows.open(), state.flows.busy())
+        };
+        self.metrics.flows.set(i64::from(flows));
+        self.metrics.busy.set(i64::from(busy));
+        self.metrics.text()
+    }
+}
+
 impl Readiness for Shared {
     fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Relaxed)
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -43,6 +43,8 @@
     GiveToCaller {
         /// Balancer to tell that the flow is here.
         tell: Option<SocketAddrV4>,
+        /// How long the caller has waited, in milliseconds, where this begins an answer.
+        waited_ms: Option<u64>,
     },
     /// Give it back to the balancer whose search this is.
     GiveBack(SocketAddrV4, u32),
@@ -130,8 +132,8 @@
         if self.flows.holding(&segment.flow) == Holding::Held {
             self.gate.note_life_sign(now_ms);
         }
-        self.flows.note_from_target(segment, now_ms);
-        Step::GiveToCaller { tell: self.asked.swap_remove(&segment.flow) }
+        let waited_ms = self.flows.note_from_target(segment, now_ms);
+        Step::GiveToCaller { tell: self.asked.swap_remove(&segment.flow), waited_ms }
     }
 
     /// The target's process has ended, as its host says, or left.
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -29,6 +29,7 @@
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
 use crate::process::events::Event;
+use crate::process::metrics::count;
 use crate::process::passthrough::BALANCERS_PREFIX;
 use crate::process::passthrough::OWN_PREFIX;
 use crate::process::passthrough::Platform;
@@ -47,6 +48,9 @@
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Probe;
 use crate::process::passthrough::message::Returned;
+use crate::process::passthrough::metrics;
+use crate::process::passthrough::metrics::MetricsSource;
+use crate::process::passthrough::metrics::PassthroughMetrics;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
 use crate::process::passthrough::seeds::Seeds;
@@ -104,6 +108,7 @@
     peers: Mutex<BalancerTable>,
     is_stopping: AtomicBool,
     probe_soon: Notify,
+    metrics: PassthroughMetrics,
     control: UdpSocket,
     data: UdpSocket,
 }
@@ -129,6 +134,7 @@
         peers: Mutex::new(peers),
         is_stopping: AtomicBool::new(false),
         probe_soon: Notify::new(),
+        metrics: PassthroughMetrics::new(),
         control,
         data,
         seeds: Seeds::new(&settings.node, |path| Ok(PassthroughBalancerSettings::read(path)?.node)),
@@ -144,6 +150,10 @@
     let source: Arc<dyn SnapshotSource> = shared.clone();
     admin::start_bare(shared.settings.exchange_address, |server| exchange::mount(server, source))
         .await?;
+    if let Some(address) = node.metrics_address {
+        let source: Arc<dyn MetricsSource> = shared.clone();
+        admin::start_bare(address, |server| metrics::mount(server, source)).await?;
+    }
     tokio::spawn(forward_segments(Arc::clone(&shared)));
     tokio::spawn(read_control(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
@@ -383,6 +393,14 @@
     }
 }
 
+impl MetricsSource for Shared {
+    fn metrics_text(&self) -> String {
+        let flows = self.state().found.len();
+        self.metrics.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
+        self.metrics.text()
+    }
+}
+
 impl Readiness for Shared {
     fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Relaxed) && self.state().routing.is_configured()
@@ -604,14 +622,21 @@
 ) {
     match forwarding {
         Forwarding::Send(ways) => {
+            count(&shared.metrics.segments, "forwarded");
+            if ways.iter().any(|(_, way)| way.search != 0) {
+                shared.metrics.searches.inc();
+            }
             for (agent, way) in ways {
                 way::encode(&way, datagram, out);
                 send(&shared.data, out, agent).await;
             }
         }
         Forwarding::Reset(reason) => reset(shared, segment, reason).await,
-        Forwarding::Drop(DropReason::Searching) => {}
+        Forwarding::Drop(DropReason::Searching) => {
+            count(&shared.metrics.dropped, DropReason::Searching.as_str());
+        }
         Forwarding::Drop(reason) => {
+            count(&shared.metrics.dropped, reason.as_str());
             let flow = segment.flow;
             let unanswering = shared.state().targets.unanswering(shared.now_ms());
             log_event!(
@@ -626,6 +651,7 @@
 }
 
 async fn reset(shared: &Shared, segment: &Segment, reason: ResetReason) {
+    count(&shared.metrics.resets, reason.as_str());
     let flow = segment.flow;
     log_event!(
         Event::FlowReset,
--- /dev/null
+++ b/src/process/passthrough/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and histograms of passed-through flows.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use rocket::State;
+use rocket::get;
+use rocket::routes;
+
+use crate::process::metrics::ReasonCounter;
+use crate::process::metrics::encode_registry;
+
+/// Upper bounds of the histogram of answers, in seconds: the latency objectives of 0.15 to 0.8 s lie
+/// between them.
+const ANSWER_BOUNDS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+/// Metrics of a balancer or an agent; what a role does not do stays at 0.
+#[derive(Debug)]
+pub struct PassthroughMetrics {
+    registry: Registry,
+    /// Segments by what was done with them.
+    pub segments: ReasonCounter,
+    /// Flows reset, by reason.
+    pub resets: ReasonCounter,
+    /// Segments dropped, by reason.
+    pub dropped: ReasonCounter,
+    /// Openings not given to the target, by reason.
+    pub refused_openings: ReasonCounter,
+    /// Searches for flows.
+    pub searches: Counter,
+    /// Failed store calls, by call.
+    pub store_failures: ReasonCounter,
+    /// Flows that are remembered or seen.
+    pub flows: Gauge,
+    /// Flows whose caller waits for an answer.
+    pub busy: Gauge,
+    /// Time from a request to the first segment of its answer, in seconds.
+    pub answers_s: Histogram,
+}
+
+impl PassthroughMetrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> PassthroughMetrics {
+        let mut metrics = PassthroughMetrics {
+            registry: Registry::with_prefix("rhubarbthread"),
+            segments: Family::default(),
+            resets: Family::default(),
+            dropped: Family::default(),
+            refused_openings: Family::default(),
+            searches: Counter::default(),
+            store_failures: Family::default(),
+            flows: Gauge::default(),
+            busy: Gauge::default(),
+            answers_s: Histogram::new(ANSWER_BOUNDS_S),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("segments", "Segments, by outcome", metrics.segments.clone());
+        registry.register("resets", "Flows reset", metrics.resets.clone());
+        registry.register("segments_dropped", "Segments dropped", metrics.dropped.clone());
+        registry.register(
+            "refused_openings",
+            "Openings not given to the target",
+            metrics.refused_openings.clone(),
+        );
+        registry.register("searches", "Searches for flows", metrics.searches.clone());
+        registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
+        registry.register("flows", "Flows remembered or seen", metrics.flows.clone());
+        registry.register("busy_flows", "Flows that wait for an answer", metrics.busy.clone());
+        registry.register("answer_seconds", "Request to answer", metrics.answers_s.clone());
+        metrics
+    }
+
+    /// Returns all metrics as OpenMetrics text.
+    pub fn text(&self) -> String {
+        encode_registry(&self.registry)
+    }
+}
+
+impl Default for PassthroughMetrics {
+    fn default() -> PassthroughMetrics {
+        PassthroughMetrics::new()
+    }
+}
+
+/// Gives the text of the metrics.
+pub trait MetricsSource: Send + Sync {
+    /// All metrics as OpenMetrics text.
+    fn metrics_text(&self) -> String;
+}
+
+type Source = std::sync::Arc<dyn MetricsSource>;
+
+#[get("/metrics")]
+fn metrics(source: &State<Source>) -> String {
+    source.metrics_text()
+}
+
+/// Adds the metrics to a server.
+pub fn mount(
+    server: rocket::Rocket<rocket::Build>,
+    source: Source,
+) -> rocket::Rocket<rocket::Build> {
+    server.manage(source).mount("/", routes![metrics])
+}
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod follower;
 pub mod message;
+pub mod metrics;
 pub mod registration;
 pub mod seeds;
 pub mod settings;
--- /dev/null
+++ b/tests/passthrough_balancer.rs
@@ -0,0 +1,389 @@
+//! Passed-through flows: what a balancer decides, without sockets and clocks.
+
+#[macro_use]
+mod support;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rhubarbthread::connection::flow_key::FlowKey;
+use rhubarbthread::connection::segment::Segment;
+use rhubarbthread::connection::target_gate::TargetPhase;
+use rhubarbthread::process::passthrough::balancer_state::BalancerState;
+use rhubarbthread::process::passthrough::balancer_state::DropReason;
+use rhubarbthread::process::passthrough::balancer_state::Forwarding;
+use rhubarbthread::process::passthrough::balancer_state::ResetReason;
+use rhubarbthread::version::balancer_table::BalancerNews;
+use rhubarbthread::version::balancer_table::BalancerTable;
+use rhubarbthread::version::balancer_table::KEEPERS;
+use rhubarbthread::version::routing::Applied;
+use rhubarbthread::version::routing::Configuration;
+use rhubarbthread::version::routing::RouteRule;
+use rhubarbthread::version::routing::ServiceLimits;
+use rhubarbthread::version::routing::WeightedService;
+use rhubarbthread::version::target_table::HOLD_MS;
+use rhubarbthread::version::target_table::Liveness;
+use rhubarbthread::version::target_table::SILENCE_MS;
+use rhubarbthread::version::target_table::TargetStatus;
+
+const IDEMPOTENT: u16 = 443;
+const ONCE: u16 = 8080;
+
+fn address(last: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
+}
+
+fn agent(last: u8) -> SocketAddrV4 {
+    address(last, 8172)
+}
+
+fn segment(route_port: u16, caller_port: u16) -> Segment {
+    Segment {
+        flow: FlowKey { caller: address(1, caller_port), service: address(200, route_port) },
+        opens: false,
+        accepts: false,
+        ends: false,
+        resets: false,
+        bounced: false,
+        sequence: 100,
+        acknowledged: 7,
+        copy: 0,
+        payload_bytes: 0,
+        slot: 0,
+    }
+}
+
+fn opening(route_port: u16, caller_port: u16) -> Segment {
+    Segment { opens: true, ..segment(route_port, caller_port) }
+}
+
+fn rule(service: &str, is_idempotent: bool) -> RouteRule {
+    let services = vec![WeightedService { service: service.to_owned(), weight: 1 }];
+    RouteRule { name: service.to_owned(), services, is_idempotent }
+}
+
+fn configuration(version: u64, service: &str) -> Configuration {
+    let limits = ServiceLimits { max_flows: 100, cold_openings_per_s: None };
+    Configuration {
+        version,
+        routes: IndexMap::from([
+            (address(200, IDEMPOTENT), rule(service, true)),
+            (address(200, ONCE), rule(service, false)),
+        ]),
+        services: IndexMap::from([("vypocet".to_owned(), limits), ("zpravy".to_owned(), limits)]),
+        idle_timeout_ms: 15_000,
+    }
+}
+
+fn status(last: u8, zone: &str, service: &str) -> TargetStatus {
+    TargetStatus {
+        data: agent(last),
+        control: address(last, 7720),
+        lifetime: u64::from(last),
+        sequence: 1,
+        zone: zone.to_owned(),
+        service: service.to_owned(),
+        phase: TargetPhase::Serving,
+        slots: 4,
+        flows: 0,
+        busy: 0,
+        is_stopping: false,
+    }
+}
+
+/// A balancer in zone `a` that knows two targets in each of the zones `a` and `b`, and one of another
+/// service in `a`.
+fn balancer() -> BalancerState {
+    let mut balancer = BalancerState::new("a", address(100, 7720));
+    balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
+    for status in [
+        status(11, "a", "vypocet"),
+        status(12, "a", "vypocet"),
+        status(21, "b", "vypocet"),
+        status(22, "b", "vypocet"),
+        status(13, "a", "zpravy"),
+    ] {
+        balancer.targets.update(status, 0, 0);
+    }
+    balancer
+}
+
+fn ways(forwarding: Forwarding) -> Vec<Vec<SocketAddrV4>> {
+    match forwarding {
+        Forwarding::Send(ways) => ways
+            .into_iter()
+            .map(|(first, way)| std::iter::once(first).chain(way.chain).collect())
+            .collect(),
+        other => panic!("it is sent, not {other:?}"),
+    }
+}
+
+fn searches(forwarding: &Forwarding) -> Vec<(SocketAddrV4, u32)> {
+    match forwarding {
+        Forwarding::Send(ways) => ways
+            .iter()
+            .map(|(first, way)| (*way.chain.last().unwrap_or(first), way.search))
+            .collect(),
+        other => panic!("it is sent, not {other:?}"),
+    }
+}
+
+/// Gives a segment back from the end of each chain of its search; returns what is done at the last.
+fn give_all_back(balancer: &mut BalancerState, segment: &Segment, now_ms: u64) -> Forwarding {
+    let forwarding = balancer.forward(segment, now_ms);
+    let searches = searches(&forwarding);
+    let mut last = forwarding;
+    for (agent, search) in searches.into_iter().filter(|(_, search)| *search != u32::MAX) {
+        last = balancer.take_back(segment, agent, search, now_ms);
+    }
+    last
+}
+
+/// Makes an agent leave probes unanswered until it counts as silent.
+fn silence(balancer: &mut BalancerState, last: u8, from_ms: u64) -> u64 {
+    let now_ms = from_ms + SILENCE_MS;
+    balancer.targets.take_due_probes(true, |data, _| data == agent(last), from_ms);
+    for other in [11, 12, 21, 22, 13].into_iter().filter(|other| *other != last) {
+        let service = if other == 13 { "zpravy" } else { "vypocet" };
+        let zone = if other > 20 { "b" } else { "a" };
+        let status = TargetStatus { sequence: now_ms, ..status(other, zone, service) };
+        balancer.targets.update(status, 0, now_ms);
+    }
+    now_ms
+}
+
+fn table(own: u8) -> BalancerTable {
+    BalancerTable::new(address(own, 7720), "a")
+}
+
+fn hear(table: &mut BalancerTable, last: u8, zone: &str, now_ms: u64) {
+    let news = BalancerNews {
+        control: address(last, 7720),
+        exchange: address(last, 8166),
+        zone: zone.to_owned(),
+        newest_change: 0,
+        age_ms: 0,
+    };
+    table.hear(&news, now_ms);
+}
+
+cases! {
+    without_a_configuration_nothing_is_decided: {
+        let mut balancer = BalancerState::new("a", address(100, 7720));
+        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 0);
+        assert_eq!(forwarding, Forwarding::Drop(DropReason::NoConfiguration));
+    };
+    an_unknown_route_is_refused_at_once: {
+        let forwarding = balancer().forward(&opening(9999, 1), 1);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoRoute));
+    };
+    an_opening_stays_in_its_zone_and_its_service: {
+        for port in 1..200 {
+            let ways = ways(balancer().forward(&opening(IDEMPOTENT, port), 1));
+            assert_eq!(ways.len(), 1);
+            assert!([agent(11), agent(12)].contains(&ways[0][0]), "{ways:?}");
+            assert!(!ways[0].contains(&agent(13)), "{ways:?}");
+        }
+    };
+    openings_spill_over_as_the_zone_fills_up: {
+        let mut balancer = balancer();
+        for last in [11, 12] {
+            let full = TargetStatus { sequence: 2, flows: 40, busy: 4, ..status(last, "a", "vypocet") };
+            balancer.targets.update(full, 0, 1);
+        }
+        let first = ways(balancer.forward(&opening(IDEMPOTENT, 1), 2))[0][0];
+        assert!([agent(21), agent(22)].contains(&first), "{first}");
+    };
+    openings_in_a_burst_are_shared_without_news_of_load: {
+        let mut balancer = balancer();
+        let mut counts: IndexMap<SocketAddrV4, u32> = IndexMap::new();
+        for port in 1..=400 {
+            *counts.entry(ways(balancer.forward(&opening(IDEMPOTENT, port), 1))[0][0]).or_default() += 1;
+        }
+        let busiest = counts.values().max().copied().unwrap_or(0);
+        assert!(busiest <= 220, "at most 1.10 of the mean of 200: {counts:?}");
+    };
+    a_zone_that_is_out_gets_no_opening: {
+        let mut balancer = balancer();
+        balancer.routing.apply_zone("a", true, 11);
+        for port in 1..50 {
+            let chain = ways(balancer.forward(&opening(IDEMPOTENT, port), 1)).remove(0);
+            assert!(chain.iter().all(|hop| [agent(21), agent(22)].contains(hop)), "{chain:?}");
+        }
+    };
+    a_copy_of_an_opening_tries_another_agent_first: {
+        let mut balancer = balancer();
+        let first = ways(balancer.forward(&opening(IDEMPOTENT, 1), 1))[0][0];
+        let copy = Segment { copy: 1, ..opening(IDEMPOTENT, 1) };
+        assert_ne!(ways(balancer.forward(&copy, 201))[0][0], first);
+    };
+    a_copy_of_an_opening_that_was_taken_goes_there: {
+        let mut balancer = balancer();
+        let flow = opening(IDEMPOTENT, 1).flow;
+        balancer.found.found(flow, agent(12), 1);
+        let copy = Segment { copy: 1, ..opening(IDEMPOTENT, 1) };
+        assert_eq!(ways(balancer.forward(&copy, 201))[0][0], agent(12));
+    };
+    nobody_who_takes_flows_is_a_refusal_at_once: {
+        let mut balancer = BalancerState::new("a", address(100, 7720));
+        balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
+        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoTarget));
+    };
+    while_agents_are_starting_an_opening_is_not_refused: {
+        let mut balancer = BalancerState::new("a", address(100, 7720));
+        balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
+        balancer.targets.learn(agent(11), address(11, 7720), "a", 0);
+        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
+        assert_eq!(forwarding, Forwarding::Drop(DropReason::NoTargetYet));
+    };
+    a_found_flow_goes_straight_to_its_agent: {
+        let mut balancer = balancer();
+        balancer.found.found(segment(ONCE, 1).flow, agent(22), 1);
+        assert_eq!(ways(balancer.forward(&segment(ONCE, 1), 2)), vec![vec![agent(22)]]);
+    };
+    a_flow_that_is_not_found_is_searched_for_along_one_chain_a_zone: {
+        let ways = ways(balancer().forward(&segment(ONCE, 1), 1));
+        let mut all: Vec<SocketAddrV4> = ways.iter().flatten().copied().collect();
+        all.sort_unstable();
+        assert_eq!(all, [11, 12, 13, 21, 22].map(agent));
+        assert_eq!(ways.len(), 2);
+    };
+    a_route_that_moved_is_searched_in_its_past_service_first: {
+        let mut balancer = balancer();
+        balancer.routing.apply_configuration(configuration(2, "zpravy"), 11);
+        let ways = ways(balancer.forward(&segment(ONCE, 1), 1));
+        let home = ways.iter().find(|chain| chain.contains(&agent(13))).expect("zone a is asked");
+        assert_eq!(home[0], agent(13));
+        assert_eq!(home.len(), 3);
+    };
+    a_flow_that_all_have_given_back_is_reset: {
+        let mut balancer = balancer();
+        let forwarding = give_all_back(&mut balancer, &segment(ONCE, 1), 1);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NotHeld));
+    };
+    a_flow_that_one_zone_has_not_given_back_is_not_reset: {
+        let mut balancer = balancer();
+        let forwarding = balancer.forward(&segment(ONCE, 1), 1);
+        let (agent, search) = searches(&forwarding)[0];
+        let forwarding = balancer.take_back(&segment(ONCE, 1), agent, search, 2);
+        assert_eq!(forwarding, Forwarding::Drop(DropReason::Searching));
+        // The same chain again proves no more.
+        let forwarding = balancer.take_back(&segment(ONCE, 1), agent, search + 7, 3);
+        assert_eq!(forwarding, Forwarding::Drop(DropReason::Searching));
+    };
+    an_agent_that_stops_for_a_moment_proves_nothing: {
+        let mut balancer = balancer();
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status(22, "b", "vypocet") };
+        balancer.targets.update(stopping, 0, 1);
+        for route in [ONCE, IDEMPOTENT] {
+            let forwarding = give_all_back(&mut balancer, &segment(route, 1), 2);
+            assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
+        }
+        assert_eq!(balancer.targets.liveness(agent(22), HOLD_MS), Some(Liveness::Awaited));
+    };
+    while_an_agent_stops_a_flow_is_searched_for_twice_and_no_more: {
+        let mut balancer = balancer();
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status(22, "b", "vypocet") };
+        balancer.targets.update(stopping, 0, 1);
+        let counted = |balancer: &mut BalancerState, now_ms| {
+            let forwarding = balancer.forward(&segment(ONCE, 1), now_ms);
+            searches(&forwarding).iter().filter(|(_, search)| *search != u32::MAX).count()
+        };
+        assert_eq!([2, 202, 602, 1_402].map(|now_ms| counted(&mut balancer, now_ms)), [2, 2, 0, 0]);
+        assert_eq!(counted(&mut balancer, 3_002), 2);
+    };
+    a_zone_that_cannot_be_reached_holds_up_no_search: {
+        // Seed of the cause: one chain through all zones ended at the one that was cut off.
+        let mut balancer = balancer();
+        for now_ms in [1, 201, 601, 1_401] {
+            let ways = ways(balancer.forward(&segment(ONCE, 1), now_ms));
+            assert!(ways.iter().any(|chain| chain.contains(&agent(11)) && !chain.contains(&agent(21))));
+        }
+    };
+    a_silent_agent_proves_a_loss_only_to_callers_that_may_repeat: {
+        let mut balancer = balancer();
+        let now_ms = silence(&mut balancer, 22, 1);
+        assert_eq!(balancer.targets.liveness(agent(22), now_ms), Some(Liveness::Silent));
+        let idempotent = give_all_back(&mut balancer, &segment(IDEMPOTENT, 1), now_ms);
+        assert_eq!(idempotent, Forwarding::Reset(ResetReason::NotHeld));
+        let once = give_all_back(&mut balancer, &segment(ONCE, 1), now_ms);
+        assert_eq!(once, Forwarding::Drop(DropReason::NotProved));
+    };
+    a_flow_at_a_silent_agent_is_left_by_callers_that_may_repeat: {
+        let mut balancer = balancer();
+        let now_ms = silence(&mut balancer, 22, 1);
+        for (route, expected) in [(IDEMPOTENT, true), (ONCE, false)] {
+            balancer.found.found(segment(route, 1).flow, agent(22), now_ms);
+            let forwarding = balancer.forward(&segment(route, 1), now_ms);
+            let is_reset = forwarding == Forwarding::Reset(ResetReason::HolderSilent);
+            assert_eq!(is_reset, expected, "route {route}");
+        }
+    };
+    old_news_alone_makes_nobody_silent: {
+        let mut balancer = balancer();
+        assert_eq!(balancer.targets.liveness(agent(22), 10_000), Some(Liveness::Awaited));
+        balancer.targets.take_due_probes(true, |_, _| false, 10_000);
+        assert_eq!(balancer.targets.liveness(agent(22), 10_000 + SILENCE_MS), Some(Liveness::Silent));
+    };
+    after_a_stall_nobody_is_silent: {
+        let mut balancer = balancer();
+        let now_ms = silence(&mut balancer, 22, 1);
+        balancer.targets.note_stall(now_ms);
+        assert_ne!(balancer.targets.liveness(agent(22), now_ms), Some(Liveness::Silent));
+    };
+    a_late_status_of_an_earlier_run_changes_nothing: {
+        let mut balancer = balancer();
+        let fresh = TargetStatus { lifetime: 99, ..status(11, "a", "vypocet") };
+        balancer.targets.update(fresh, 0, 1);
+        let late = TargetStatus { is_stopping: true, sequence: 9, ..status(11, "a", "vypocet") };
+        assert!(!balancer.targets.update(late, 0, 2));
+        assert_eq!(balancer.targets.liveness(agent(11), 3), Some(Liveness::Alive));
+    };
+    an_older_version_never_comes_back: {
+        let mut balancer = balancer();
+        assert_eq!(balancer.routing.apply_configuration(configuration(5, "zpravy"), 20), Applied::Newer);
+        assert_eq!(balancer.routing.apply_configuration(configuration(4, "vypocet"), 21), Applied::Known);
+        assert_eq!(balancer.routing.apply_configuration(configuration(6, "vypocet"), 19), Applied::Known);
+    };
+    an_older_snapshot_takes_no_zone_back_in: {
+        let mut balancer = balancer();
+        balancer.routing.apply_zone("a", true, 30);
+        assert_eq!(balancer.routing.apply_zones_out(IndexSet::new(), 25, 29), Applied::Known);
+        assert!(balancer.routing.is_zone_out("a"));
+        assert_eq!(balancer.routing.apply_zones_out(IndexSet::new(), 25, 31), Applied::Newer);
+    };
+    an_agent_has_its_keepers_in_its_zone: {
+        for agent_number in 0..50 {
+            let keepers = (1..=8).filter(|own| {
+                let mut table = table(*own);
+                (1..=8).filter(|other| other != own).for_each(|other| hear(&mut table, other, "a", 0));
+                (11..=18).for_each(|other| hear(&mut table, other, "b", 0));
+                table.keeps(agent(agent_number), 1)
+            });
+            assert_eq!(keepers.count(), KEEPERS);
+        }
+    };
+    a_keeper_that_falls_silent_is_replaced: {
+        let keepers = (1..=8).filter(|own| {
+            let mut table = table(*own);
+            (1..=8).filter(|other| other != own).for_each(|other| hear(&mut table, other, "a", 0));
+            (1..=5).filter(|other| other != own).for_each(|other| hear(&mut table, other, "a", 3_000));
+            *own <= 5 && table.keeps(agent(1), 3_001)
+        });
+        assert_eq!(keepers.count(), KEEPERS);
+    };
+    two_pairs_talk_between_two_zones: {
+        let senders = (1..=8).filter(|own| {
+            let mut table = table(*own);
+            (1..=8).filter(|other| other != own).for_each(|other| hear(&mut table, other, "a", 0));
+            (11..=18).for_each(|other| hear(&mut table, other, "b", 0));
+            table.receivers(1).iter().any(|receiver| receiver.ip().octets()[3] > 10)
+        });
+        assert_eq!(senders.count(), 2);
+    };
+}
--- /dev/null
+++ b/tests/passthrough_gate.rs
@@ -0,0 +1,285 @@
+//! Passed-through flows: what an agent decides at its target, without sockets and clocks.
+
+#[macro_use]
+mod support;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use rhubarbthread::connection::flow_key::FlowKey;
+use rhubarbthread::connection::held_flows::HeldFlows;
+use rhubarbthread::connection::held_flows::Holding;
+use rhubarbthread::connection::segment::Segment;
+use rhubarbthread::connection::target_gate::GateLimits;
+use rhubarbthread::connection::target_gate::Refused;
+use rhubarbthread::connection::target_gate::ReportOutcome;
+use rhubarbthread::connection::target_gate::TargetGate;
+use rhubarbthread::connection::target_gate::TargetLoad;
+use rhubarbthread::connection::target_gate::TargetPhase;
+use rhubarbthread::connection::target_gate::TargetReport;
+use rhubarbthread::process::passthrough::agent_state::AgentState;
+use rhubarbthread::process::passthrough::agent_state::Step;
+use rhubarbthread::process::passthrough::message::Probe;
+use rhubarbthread::process::passthrough::way::Way;
+
+/// Time after which an address is used by another service, less a tenth, in milliseconds.
+const SILENCE_MS: u64 = 1_800;
+const REPORT_INTERVAL_MS: u64 = 770;
+const NO_LOAD: TargetLoad = TargetLoad { flows: 0, busy: 0 };
+
+fn report(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
+    TargetReport {
+        id: id.to_owned(),
+        started_ms,
+        age_ms: 10_000,
+        sequence,
+        service: "vypocet".to_owned(),
+        is_leaving: false,
+        cold_left_ms: 0,
+        slots: 4,
+    }
+}
+
+fn gate() -> TargetGate {
+    let mut gate = TargetGate::new(SILENCE_MS, REPORT_INTERVAL_MS);
+    gate.report(report("a", 1, 1), 0);
+    gate
+}
+
+fn admit(gate: &mut TargetGate, now_ms: u64) -> Result<(), Refused> {
+    gate.admit("vypocet", NO_LOAD, true, false, now_ms)
+}
+
+fn address(last: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
+}
+
+fn segment(port: u16) -> Segment {
+    Segment {
+        flow: FlowKey { caller: address(1, port), service: address(200, 443) },
+        opens: false,
+        accepts: false,
+        ends: false,
+        resets: false,
+        bounced: false,
+        sequence: 100,
+        acknowledged: 7,
+        copy: 0,
+        payload_bytes: 0,
+        slot: 0,
+    }
+}
+
+fn opening(port: u16) -> Segment {
+    Segment { opens: true, ..segment(port) }
+}
+
+fn way(chain: &[SocketAddrV4], search: u32) -> Way {
+    Way {
+        chain: chain.to_vec(),
+        service: "vypocet".to_owned(),
+        report_to: Some(address(9, 7720)),
+        search,
+    }
+}
+
+fn agent() -> AgentState {
+    let mut agent = AgentState::new(SILENCE_MS, REPORT_INTERVAL_MS, 0);
+    agent.gate.report(report("a", 1, 1), 0);
+    agent
+}
+
+fn slot_of(step: &Step) -> u32 {
+    match step {
+        Step::GiveToTarget { slot, .. } => *slot,
+        other => panic!("the segment is given to the target, not {other:?}"),
+    }
+}
+
+/// Opens a flow at an agent whose target accepts it.
+fn open_flow(agent: &mut AgentState, port: u16, now_ms: u64) {
+    agent.from_node(&opening(port), way(&[], 0), now_ms);
+    agent.from_target(&Segment { accepts: true, ..segment(port) }, now_ms);
+}
+
+cases! {
+    an_unknown_target_takes_no_flow: {
+        let mut gate = TargetGate::new(SILENCE_MS, REPORT_INTERVAL_MS);
+        assert_eq!(admit(&mut gate, 0), Err(Refused::TargetSilent));
+    };
+    a_silent_target_takes_no_flow_before_its_address_is_used_again: {
+        let mut gate = gate();
+        assert_eq!(admit(&mut gate, SILENCE_MS - 1), Ok(()));
+        assert_eq!(admit(&mut gate, SILENCE_MS), Err(Refused::TargetSilent));
+    };
+    a_flow_of_another_service_is_not_taken: {
+        let mut gate = gate();
+        let refused = gate.admit("zpravy", NO_LOAD, true, false, 1);
+        assert_eq!(refused, Err(Refused::OtherService));
+    };
+    a_leaving_target_takes_no_flow: {
+        let mut gate = gate();
+        gate.report(TargetReport { is_leaving: true, ..report("a", 1, 2) }, 1);
+        assert_eq!(admit(&mut gate, 2), Err(Refused::Leaving));
+        assert_eq!(gate.phase(2), TargetPhase::Leaving);
+    };
+    a_late_report_of_a_past_life_changes_nothing: {
+        let mut gate = gate();
+        assert_eq!(gate.report(report("b", 5, 1), 1), ReportOutcome::NewLife);
+        assert_eq!(gate.report(report("a", 1, 9), 2), ReportOutcome::Stale);
+        assert_eq!(gate.known().map(|report| report.id.as_str()), Some("b"));
+    };
+    a_report_out_of_order_changes_nothing: {
+        let mut gate = gate();
+        gate.report(TargetReport { is_leaving: true, ..report("a", 1, 5) }, 1);
+        assert_eq!(gate.report(report("a", 1, 4), 2), ReportOutcome::Stale);
+        assert_eq!(gate.phase(2), TargetPhase::Leaving);
+    };
+    a_target_that_starts_again_under_its_id_is_another_life: {
+        let mut gate = gate();
+        gate.report(report("a", 1, 50), 1);
+        assert_eq!(gate.report(report("a", 8, 1), 2), ReportOutcome::NewLife);
+    };
+    a_target_that_has_left_stays_so: {
+        let mut gate = gate();
+        assert!(gate.leave("a"));
+        assert_eq!(gate.report(report("a", 1, 9), 1), ReportOutcome::Stale);
+        assert_eq!(gate.phase(1), TargetPhase::Ended);
+    };
+    a_zone_that_comes_back_waits_for_a_report: {
+        let mut gate = gate();
+        gate.set_zone_out(true, 10);
+        assert_eq!(admit(&mut gate, 11), Err(Refused::ZoneOut));
+        gate.set_zone_out(false, 20);
+        assert_eq!(admit(&mut gate, 21), Err(Refused::TargetSilent));
+        gate.report(report("a", 1, 2), 30);
+        assert_eq!(admit(&mut gate, 31), Ok(()));
+    };
+    a_cold_target_never_gets_more_than_it_bears: {
+        let mut gate = gate();
+        gate.set_limits(GateLimits { cold_openings_per_s: Some(5), max_flows: 100 });
+        gate.report(TargetReport { cold_left_ms: 60_000, ..report("a", 1, 2) }, 0);
+        let mut taken_ms = Vec::new();
+        for now_ms in (0..1_700).step_by(7) {
+            // Copies count as well.
+            if gate.admit("vypocet", NO_LOAD, true, now_ms % 2 == 0, now_ms).is_ok() {
+                taken_ms.push(now_ms);
+            }
+        }
+        for start_ms in 0..1_700_u64 {
+            let in_second =
+                taken_ms.iter().filter(|at_ms| (start_ms..start_ms + 1_000).contains(at_ms));
+            assert!(in_second.count() <= 5, "more than 5 in the second from {start_ms}");
+        }
+        assert!(taken_ms.len() >= 9, "it takes what it bears: {taken_ms:?}");
+    };
+    no_limit_in_the_configuration_is_no_limit: {
+        let mut gate = gate();
+        gate.report(TargetReport { cold_left_ms: 2_000, ..report("a", 1, 2) }, 0);
+        assert!((0..500).all(|_| admit(&mut gate, 1).is_ok()));
+    };
+    busy_slots_pass_an_opening_on_only_while_others_are_left: {
+        let mut gate = gate();
+        let full = TargetLoad { flows: 9, busy: 4 };
+        assert_eq!(gate.admit("vypocet", full, true, false, 1), Err(Refused::Busy));
+        assert_eq!(gate.admit("vypocet", full, false, false, 1), Ok(()));
+    };
+    after_a_stall_the_target_must_report_first: {
+        let mut gate = gate();
+        gate.note_stall(500);
+        assert_eq!(admit(&mut gate, 501), Err(Refused::TargetSilent));
+    };
+    a_copy_of_a_request_makes_no_slot_busy_again: {
+        let mut flows = HeldFlows::new();
+        let request = Segment { payload_bytes: 50, ..segment(1) };
+        flows.note_to_target(&opening(1), 0);
+        flows.note_to_target(&request, 1);
+        assert_eq!(flows.busy(), 1);
+        flows.note_from_target(&Segment { payload_bytes: 900, ..segment(1) }, 2);
+        flows.note_to_target(&request, 3);
+        assert_eq!(flows.busy(), 0);
+        assert_eq!(flows.open(), 1);
+    };
+    an_ended_flow_is_remembered_for_late_copies_and_then_forgotten: {
+        let mut flows = HeldFlows::new();
+        flows.note_to_target(&opening(1), 0);
+        flows.note_to_target(&Segment { ends: true, ..segment(1) }, 1);
+        flows.note_from_target(&Segment { ends: true, ..segment(1) }, 2);
+        assert_eq!(flows.holding(&segment(1).flow), Holding::Ended);
+        assert_eq!(flows.open(), 0);
+        flows.expire(6_000, 15_000);
+        assert_eq!(flows.holding(&segment(1).flow), Holding::Unknown);
+    };
+    what_the_target_gives_back_goes_to_the_next_agent: {
+        let mut agent = agent();
+        let next = address(3, 8172);
+        let given = agent.from_node(&segment(1), way(&[next], 4), 1);
+        let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(1) };
+        match agent.from_target(&returned, 2) {
+            Step::PassOn(agent, way, None) => {
+                assert_eq!((agent, way.chain.len(), way.search), (next, 0, 4));
+            }
+            other => panic!("it is passed on, not {other:?}"),
+        }
+    };
+    the_last_agent_gives_the_segment_back_to_the_balancer: {
+        let mut agent = agent();
+        let given = agent.from_node(&segment(1), way(&[], 4), 1);
+        let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(1) };
+        assert_eq!(agent.from_target(&returned, 2), Step::GiveBack(address(9, 7720), 4));
+    };
+    a_slot_of_another_flow_is_not_believed: {
+        let mut agent = agent();
+        let given = agent.from_node(&segment(1), way(&[address(3, 1)], 4), 1);
+        let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(2) };
+        assert_eq!(agent.from_target(&returned, 2), Step::Drop);
+    };
+    an_opening_that_nobody_takes_is_refused_at_once: {
+        let mut agent = AgentState::new(SILENCE_MS, REPORT_INTERVAL_MS, 0);
+        let step = agent.from_node(&opening(1), way(&[], 0), 1);
+        assert!(matches!(step, Step::Reset(_, Some(Refused::TargetSilent))), "{step:?}");
+    };
+    the_balancer_that_searches_is_told_where_the_flow_is: {
+        let mut agent = agent();
+        open_flow(&mut agent, 1, 1);
+        match agent.from_node(&segment(1), way(&[], 4), 2) {
+            Step::GiveToTarget { tell, .. } => assert_eq!(tell, Some(address(9, 7720))),
+            other => panic!("it is given to the target, not {other:?}"),
+        }
+    };
+    an_agent_that_saw_the_whole_life_answers_without_the_target: {
+        let mut agent = agent();
+        agent.gate.report(report("b", 5, 1), 1);
+        agent.forget_flows();
+        assert_eq!(agent.from_node(&segment(1), way(&[], 4), 2), Step::GiveBack(address(9, 7720), 4));
+        open_flow(&mut agent, 2, 3);
+        slot_of(&agent.from_node(&segment(2), way(&[], 4), 4));
+    };
+    an_agent_that_started_later_than_its_target_asks_it: {
+        let mut agent = agent();
+        slot_of(&agent.from_node(&segment(1), way(&[], 4), 2));
+    };
+    a_flow_that_the_target_lost_makes_it_another_life_until_it_reports: {
+        let mut agent = agent();
+        open_flow(&mut agent, 1, 1);
+        let given = agent.from_node(&segment(1), way(&[], 4), 2);
+        agent.from_target(&Segment { bounced: true, slot: slot_of(&given), ..segment(1) }, 3);
+        let step = agent.from_node(&opening(2), way(&[], 0), 4);
+        assert!(matches!(step, Step::Reset(_, Some(Refused::TargetSilent))), "{step:?}");
+    };
+    an_older_configuration_does_not_open_a_zone: {
+        let mut agent = agent();
+        let probe = |revision, is_zone_out| Probe {
+            balancer: address(9, 7720),
+            revision,
+            is_zone_out,
+            service: String::new(),
+            limits: GateLimits { cold_openings_per_s: None, max_flows: 10 },
+            idle_timeout_ms: 0,
+        };
+        agent.take_probe(&probe(8, true), 1);
+        agent.take_probe(&probe(7, false), 2);
+        let step = agent.from_node(&opening(1), way(&[], 0), 3);
+        assert!(matches!(step, Step::Reset(_, Some(Refused::ZoneOut))), "{step:?}");
+    };
+}
