--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -32,7 +32,7 @@
     /// Whether it is about to leave.
     pub is_leaving: bool,
     /// How long it stays cold, in milliseconds.
-    pub cold_left_ms: u64,
+    pub cold_remaining_ms: u64,
     /// Requests that it runs at once when warm.
     pub slots: u32,
 }
@@ -181,7 +181,7 @@
         if self.past_lives.iter().any(is_past) {
             return ReportOutcome::Stale;
         }
-        let cold_until_ms = now_ms + report.cold_left_ms;
+        let cold_until_ms = now_ms + report.cold_remaining_ms;
         let outcome = match &self.life {
             None => ReportOutcome::NewLife,
             Some(life) if is_same_life(&life.report, &report) => {
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -311,12 +311,12 @@
     fn report(&self, report: TargetReport) -> ReportOutcome {
         let now_ms = self.now_ms();
         let details = format!(
-            "target={} started_ms={} service={} leaving={} cold_left_ms={} sequence={}",
+            "target={} started_ms={} service={} leaving={} cold_remaining_ms={} sequence={}",
             report.id,
             report.started_ms,
             report.service,
             report.is_leaving,
-            report.cold_left_ms,
+            report.cold_remaining_ms,
             report.sequence
         );
         let outcome = {
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -1,6 +1,6 @@
 //! Follows a prefix of the store: reads it once, then watches it.
 
-use std::future::Future;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,31 +52,29 @@
     }
 }
 
-fn read_and_watch<'a>(
-    store: &'a dyn Store,
-    prefix: &'a str,
+async fn read_and_watch(
+    store: &dyn Store,
+    prefix: &str,
     pace: Pace,
-    following: &'a dyn Following,
-    failures: &'a mut u32,
-) -> impl Future<Output = Result<std::convert::Infallible, StoreError>> + 'a {
-    async move {
-        let snapshot = store.range(prefix).await?;
-        following.take_snapshot(&snapshot);
-        note_back(failures, prefix);
-        let mut watch = store.watch(prefix, snapshot.revision + 1, pace.longest_wait).await?;
-        loop {
-            match watch.next().await {
-                Ok(changes) => {
-                    following.take_changes(&changes);
-                    note_back(failures, prefix);
-                    if !changes.is_empty() {
-                        sleep(pace.pause).await;
-                    }
+    following: &dyn Following,
+    failures: &mut u32,
+) -> Result<Infallible, StoreError> {
+    let snapshot = store.range(prefix).await?;
+    following.take_snapshot(&snapshot);
+    note_back(failures, prefix);
+    let mut watch = store.watch(prefix, snapshot.revision + 1, pace.longest_wait).await?;
+    loop {
+        match watch.next().await {
+            Ok(changes) => {
+                following.take_changes(&changes);
+                note_back(failures, prefix);
+                if !changes.is_empty() {
+                    sleep(pace.pause).await;
                 }
-                // A waiting watch may be cut at any time; from where it stood it goes on.
-                Err(StoreError::NoAnswer { .. }) if *failures == 0 => *failures += 1,
-                Err(error) => return Err(error),
             }
+            // A waiting watch may be cut at any time; from where it stood it goes on.
+            Err(StoreError::NoAnswer { .. }) if *failures == 0 => *failures += 1,
+            Err(error) => return Err(error),
         }
     }
 }
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -5,8 +5,11 @@
 use std::fs;
 use std::path::Path;
 
+use rhubarbthread::connection::target_gate::Refused;
 use rhubarbthread::process::agent_socket::AgentDrop;
 use rhubarbthread::process::events::Event;
+use rhubarbthread::process::passthrough::balancer_state::DropReason;
+use rhubarbthread::process::passthrough::balancer_state::ResetReason;
 use rhubarbthread::request::verdict::Refusal;
 use rhubarbthread::version::table::Drop;
 
@@ -42,13 +45,19 @@
         "path(\"",
         "optional_path(\"",
         "number(\"",
+        "seconds_as_ms(\"",
         "text(\"",
         "texts(\"",
         "choice(\"",
         "optional_text(\"",
     ];
     let mut keys = Vec::new();
-    for file in ["src/process/settings.rs", "src/process/service_file.rs", "src/process/keys.rs"] {
+    for file in [
+        "src/process/settings.rs",
+        "src/process/service_file.rs",
+        "src/process/keys.rs",
+        "src/process/passthrough/settings.rs",
+    ] {
         let code = read(file);
         for call in calls {
             for part in code.split(&format!(".{call}")).skip(1) {
@@ -91,6 +100,26 @@
             assert!(page.contains(&format!("`{reason}`")), "docs/OPERATING.md misses {reason}");
         }
     };
+    every_reason_of_passed_through_flows_is_described: {
+        let page = read("docs/OPERATIONS.md");
+        let refused = Refused::ALL.iter().map(|reason| reason.as_str());
+        let dropped = DropReason::ALL.iter().map(|reason| reason.as_str());
+        let resets = ResetReason::ALL.iter().map(|reason| reason.as_str());
+        for reason in refused.chain(dropped).chain(resets) {
+            assert!(page.contains(&format!("`{reason}`")), "docs/OPERATIONS.md misses {reason}");
+        }
+    };
+    the_platforms_names_stay_in_its_folder: {
+        let names = ["kv-", "Instances.", "cold_left_ms", "traffic_split", "RHUBARBTHREAD_CONFIG"];
+        for file in rust_files(Path::new(env!("CARGO_MANIFEST_DIR"))) {
+            if file.ends_with("tests/docs.rs") || file.components().any(|part| part.as_os_str() == "platform") {
+                continue;
+            }
+            let code = fs::read_to_string(&file).expect("it is readable");
+            let found = names.iter().find(|name| code.contains(**name));
+            assert_eq!(found, None, "{}", file.display());
+        }
+    };
     one_import_a_line: {
         for file in rust_files(Path::new(env!("CARGO_MANIFEST_DIR"))) {
             let code = fs::read_to_string(&file).expect("it is readable");
@@ -105,7 +134,7 @@
 
 fn rust_files(root: &Path) -> Vec<std::path::PathBuf> {
     let mut files = Vec::new();
-    for folder in ["src", "tests", "standins/src", "examples"] {
+    for folder in ["src", "tests", "standins/src", "examples", "platform/src", "platform/tests"] {
         collect(&root.join(folder), &mut files);
     }
     files
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -35,7 +35,7 @@
         sequence,
         service: "vypocet".to_owned(),
         is_leaving: false,
-        cold_left_ms: 0,
+        cold_remaining_ms: 0,
         slots: 4,
     }
 }
@@ -158,7 +158,7 @@
     a_cold_target_never_gets_more_than_it_bears: {
         let mut gate = gate();
         gate.set_limits(GateLimits { cold_openings_per_s: Some(5), max_flows: 100 });
-        gate.report(TargetReport { cold_left_ms: 60_000, ..report("a", 1, 2) }, 0);
+        gate.report(TargetReport { cold_remaining_ms: 60_000, ..report("a", 1, 2) }, 0);
         let mut taken_ms = Vec::new();
         for now_ms in (0..1_700).step_by(7) {
             // Copies count as well.
@@ -168,14 +168,14 @@
         }
         for start_ms in 0..1_700_u64 {
             let in_second =
-                taken_ms.iter().filter(|at_ms| (start_ms..start_ms + 1_000).contains(at_ms));
+                taken_ms.iter().filter(|at_ms| (start_ms..start_ms + 1_000).contains(*at_ms));
             assert!(in_second.count() <= 5, "more than 5 in the second from {start_ms}");
         }
         assert!(taken_ms.len() >= 9, "it takes what it bears: {taken_ms:?}");
     };
     no_limit_in_the_configuration_is_no_limit: {
         let mut gate = gate();
-        gate.report(TargetReport { cold_left_ms: 2_000, ..report("a", 1, 2) }, 0);
+        gate.report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 2) }, 0);
         assert!((0..500).all(|_| admit(&mut gate, 1).is_ok()));
     };
     busy_slots_pass_an_opening_on_only_while_others_are_left: {
