A balancer resets lost flows only once it may know all agents; new agents introduce themselves at once

A balancer that had read the nodes before an agent registered did not know it, took the answers of the others for all, and reset flows that the unknown one held; new agents told seeds and balancers only after 2 s without a probe. Ruled out: late refusals of an earlier copy (the log named no refusal).

--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -73,6 +73,12 @@
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1_000.0;
 
+/// Time between two rounds of telling, in milliseconds, in the first seconds of an agent.
+const INTRODUCTION_MS: u64 = 500;
+
+/// How long an agent counts as new, in milliseconds.
+const NEW_MS: u64 = 3_000;
+
 /// How long a balancer that does not probe is still told of changes, in milliseconds.
 const BALANCER_SILENCE_MS: u64 = 5_000;
 
@@ -444,7 +450,8 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_ms = shared.now_ms();
-    let mut seeds_told_ms = shared.now_ms();
+    let started_ms = shared.now_ms();
+    let mut seeds_told_ms = 0;
     let mut phase = TargetPhase::Unknown;
     loop {
         ticks.tick().await;
@@ -469,10 +476,15 @@
             balancers.retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < BALANCER_SILENCE_MS);
             !balancers.values().any(|heard_ms| now_ms.saturating_sub(*heard_ms) < UNPROBED_MS)
         };
-        if is_unprobed && now_ms.saturating_sub(seeds_told_ms) >= UNPROBED_MS {
+        let is_new = now_ms - started_ms < NEW_MS;
+        let pause_ms = if is_new { INTRODUCTION_MS } else { UNPROBED_MS };
+        if is_unprobed && now_ms.saturating_sub(seeds_told_ms) >= pause_ms {
+            let is_first = seeds_told_ms == 0;
             seeds_told_ms = now_ms;
             tell_seeds(&shared).await;
-            tokio::spawn(tell_registered(Arc::clone(&shared)));
+            if !is_first {
+                tokio::spawn(tell_registered(Arc::clone(&shared)));
+            }
         }
     }
 }
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -93,6 +93,10 @@
 /// platform's `flow_ttl_s` of 60 s may be forgotten.
 const ENTRY_SILENCE_MS: u64 = 60_000;
 
+/// Time after which a balancer that could not read the nodes takes those that it knows for all, in
+/// milliseconds: agents that are not probed tell seeds and balancers each two seconds.
+const INTRODUCED_MS: u64 = 5_000;
+
 /// Time from a planned stop to its end, in milliseconds: the platform asks twice a second and turns
 /// away after two misses; half a second for what is on its way.
 const STOP_MS: u64 = 1_800;
@@ -108,6 +112,7 @@
     peers: Mutex<BalancerTable>,
     is_stopping: AtomicBool,
     probe_soon: Notify,
+    has_read_nodes: AtomicBool,
     metrics: PassthroughMetrics,
     control: UdpSocket,
     data: UdpSocket,
@@ -134,6 +139,7 @@
         peers: Mutex::new(peers),
         is_stopping: AtomicBool::new(false),
         probe_soon: Notify::new(),
+        has_read_nodes: AtomicBool::new(false),
         metrics: PassthroughMetrics::new(),
         control,
         data,
@@ -300,6 +306,14 @@
         }
     }
 
+    /// Notes whether this balancer knows all agents: the store has named the nodes, and the other
+    /// balancers have told of theirs; or all have had time to make themselves known.
+    fn note_knowledge(&self, running_ms: u64) {
+        let has_read = self.has_read_nodes.load(Ordering::Relaxed) || running_ms >= INTRODUCED_MS;
+        let knows_all = has_read && self.peers().is_settled(self.now_ms());
+        self.state().knows_all_agents = knows_all;
+    }
+
     async fn send_probes(&self, is_round: bool) {
         let now_ms = self.now_ms();
         let probes: Vec<(SocketAddrV4, Probe)> = {
@@ -465,7 +479,9 @@
         match store.range(OWN_PREFIX).await {
             Ok(snapshot) => {
                 snapshot.values.iter().for_each(|value| take_node(&shared, value));
+                shared.has_read_nodes.store(true, Ordering::Relaxed);
                 shared.probe_soon.notify_one();
+                shared.send_state().await;
                 break;
             }
             Err(error) => log_event!(Event::StoreFailed, "call=nodes {error}"),
@@ -708,7 +724,8 @@
 async fn tick(shared: Arc<Shared>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last_ms = shared.now_ms();
+    let started_ms = shared.now_ms();
+    let mut last_ms = started_ms;
     let (mut probed_ms, mut told_ms, mut swept_ms) = (0, 0, 0);
     loop {
         tokio::select! {
@@ -725,6 +742,7 @@
         if is_round {
             probed_ms = now_ms;
         }
+        shared.note_knowledge(now_ms - started_ms);
         shared.send_probes(is_round).await;
         if now_ms - told_ms >= STATE_INTERVAL_MS {
             told_ms = now_ms;
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -112,6 +112,9 @@
     pub targets: TargetTable,
     /// Flows whose agent is known.
     pub found: FoundFlows,
+    /// Whether all agents are known that may hold a flow. A balancer that has just started does not
+    /// know those that only others have heard of.
+    pub knows_all_agents: bool,
     zone: String,
     control: SocketAddrV4,
 }
@@ -123,6 +126,7 @@
             routing: Routing::new(),
             targets: TargetTable::new(),
             found: FoundFlows::new(),
+            knows_all_agents: false,
             zone: zone.to_owned(),
             control,
         }
@@ -241,7 +245,8 @@
     /// Whether nobody holds a flow that all who answered have given back. Of one that did not answer
     /// this is not known: then only callers that may repeat are told, and not while it is awaited.
     fn is_proved_lost(&self, flow: &FlowKey, search: &Search) -> bool {
-        search.unanswering.is_empty() || (self.is_idempotent(flow) && !search.has_awaited)
+        self.knows_all_agents
+            && (search.unanswering.is_empty() || (self.is_idempotent(flow) && !search.has_awaited))
     }
 
     fn search_for(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -21,6 +21,10 @@
 /// Silence after which a balancer has no part in the work, in milliseconds: three states are missing.
 const SILENCE_MS: u64 = 2_000;
 
+/// Time that a balancer has to be heard, in milliseconds, once it is known: one of its states and a
+/// lost one.
+const UNHEARD_MS: u64 = 1_300;
+
 /// Silence after which a balancer is forgotten, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 
@@ -163,6 +167,14 @@
         control != self.own && self.peers.get(&control).is_none_or(|peer| is_over(peer, now_ms))
     }
 
+    /// Whether every balancer that is known has been heard, or has had time to be.
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        let is_settled = |peer: &Peer| {
+            peer.heard_ms.is_some() || now_ms.saturating_sub(peer.known_since_ms) >= UNHEARD_MS
+        };
+        self.peers.values().all(is_settled)
+    }
+
     /// Forgets balancers after a long silence.
     pub fn expire(&mut self, now_ms: u64) {
         self.peers.retain(|_, peer| !is_over(peer, now_ms));
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -97,6 +97,7 @@
 /// service in `a`.
 fn balancer() -> BalancerState {
     let mut balancer = BalancerState::new("a", address(100, 7720));
+    balancer.knows_all_agents = true;
     balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
     for status in [
         status(11, "a", "vypocet"),
@@ -264,6 +265,24 @@
         let forwarding = give_all_back(&mut balancer, &segment(ONCE, 1), 1);
         assert_eq!(forwarding, Forwarding::Reset(ResetReason::NotHeld));
     };
+    a_balancer_that_may_not_know_all_agents_resets_nothing: {
+        let mut balancer = balancer();
+        balancer.knows_all_agents = false;
+        for route in [ONCE, IDEMPOTENT] {
+            let forwarding = give_all_back(&mut balancer, &segment(route, 1), 1);
+            assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
+        }
+    };
+    balancers_that_are_known_and_not_heard_are_waited_for: {
+        let mut table = table(1);
+        assert!(table.is_settled(0));
+        table.learn(address(2, 7720), address(2, 8166), "a", 0);
+        assert!(!table.is_settled(600));
+        assert!(table.is_settled(1_300));
+        table.learn(address(3, 7720), address(3, 8166), "a", 1_300);
+        hear(&mut table, 3, "a", 1_400);
+        assert!(table.is_settled(1_400));
+    };
     a_flow_that_one_zone_has_not_given_back_is_not_reset: {
         let mut balancer = balancer();
         let forwarding = balancer.forward(&segment(ONCE, 1), 1);
