--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -138,7 +138,12 @@
         if segment.bounced {
             return self.given_back(segment, now_ms);
         }
-        if self.flows.holding(&segment.flow) == Holding::Held {
+        let holding = self.flows.holding(&segment.flow);
+        // A target that has only just started resets segments of a search instead of giving them back.
+        if segment.resets && holding == Holding::Unknown && self.gate.known().is_none() {
+            return Step::Drop;
+        }
+        if holding == Holding::Held {
             self.gate.note_life_sign(now_ms);
         }
         let waited_ms = self.flows.note_from_target(segment, now_ms);
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -277,6 +277,18 @@
         agent.from_node(&opening(2), way(&[], 0), 3);
         assert_eq!(agent.from_node(&segment(2), way(&[], 4), 4), given_back(4));
     };
+    a_reset_of_a_target_that_nobody_knows_yet_reaches_no_caller: {
+        let mut agent = AgentState::new(SILENCE_MS, REPORT_INTERVAL_MS, 0);
+        slot_of(&agent.from_node(&segment(1), way(&[], 4), 1));
+        let reset = Segment { resets: true, ..segment(1) };
+        assert_eq!(agent.from_target(&reset, 2), Step::Drop);
+    };
+    a_reset_of_a_target_on_its_own_flow_reaches_the_caller: {
+        let mut agent = agent();
+        open_flow(&mut agent, 1, 1);
+        let step = agent.from_target(&Segment { resets: true, ..segment(1) }, 2);
+        assert!(matches!(step, Step::GiveToCaller { .. }), "{step:?}");
+    };
     an_agent_that_started_later_than_its_target_asks_it: {
         let mut agent = agent();
         slot_of(&agent.from_node(&segment(1), way(&[], 4), 2));
