--- /dev/null
+++ b/src/process/passthrough/balancer_store.rs
@@ -0,0 +1,189 @@
+//! What a balancer reads from the store, and from other balancers where the store turns it away.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::error::Result;
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::passthrough::BALANCERS_PREFIX;
+use crate::process::passthrough::OWN_PREFIX;
+use crate::process::passthrough::TARGETS_PREFIX;
+use crate::process::passthrough::balancer::Shared;
+use crate::process::passthrough::exchange;
+use crate::process::passthrough::follower;
+use crate::process::passthrough::follower::Following;
+use crate::process::passthrough::follower::Pace;
+use crate::process::passthrough::registration;
+use crate::process::passthrough::registration::NodeEntry;
+use crate::process::store::StoreChange;
+use crate::process::store::StoreError;
+use crate::process::store::StoreSnapshot;
+use crate::process::store::StoreValue;
+use crate::process::store::Unchanged;
+use crate::wire::ConfigurationItem;
+
+struct OperatorFollowing(Arc<Shared>);
+
+impl Following for OperatorFollowing {
+    fn take_snapshot(&self, snapshot: &StoreSnapshot) {
+        let item = |value: &StoreValue| (value.key.clone(), value.value.clone(), value.revision);
+        self.0.take_items(snapshot.values.iter().map(item).collect(), snapshot.revision);
+    }
+
+    fn take_changes(&self, changes: &[StoreChange]) {
+        for change in changes {
+            self.0.take_change(change);
+        }
+    }
+}
+
+/// Pause after a change of the configuration, of the three seconds in which it must be in force.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(150);
+
+/// Share of the time in which a silent connection must be noticed that one watch waits: what is left
+/// is for its late answer and for reading everything again.
+const WATCH_SHARE_PERCENT: u64 = 60;
+
+pub(super) async fn follow_operators(shared: Arc<Shared>) {
+    let prefix = shared.platform.operator_items.prefix();
+    let store = Arc::clone(&shared.platform.store);
+    let longest_ms = shared.settings.node.store_silence_ms * WATCH_SHARE_PERCENT / 100;
+    let longest_wait = Duration::from_millis(longest_ms);
+    let pace = Pace { longest_wait, pause: OPERATOR_PAUSE };
+    follower::follow(store, prefix, pace, &OperatorFollowing(shared)).await;
+}
+
+/// Time between two looks of the first balancer at entries that were left behind.
+const COLLECT_INTERVAL: Duration = Duration::from_secs(60);
+
+/// First and longest wait after a failed read of the nodes, in milliseconds.
+const NODES_RETRY_MS: (u64, u64) = (100, 1_000);
+
+/// Reads the nodes once; later ones make themselves known. Then removes, where this balancer is the
+/// first, the entries of nodes that do not come back.
+pub(super) async fn follow_nodes(shared: Arc<Shared>) {
+    let (mut wait_ms, longest_ms) = NODES_RETRY_MS;
+    let store = &shared.platform.store;
+    loop {
+        match store.range(OWN_PREFIX).await {
+            Ok(snapshot) => {
+                snapshot.values.iter().for_each(|value| take_node(&shared, value));
+                shared.has_read_nodes.store(true, Ordering::Relaxed);
+                shared.probe_soon.notify_one();
+                shared.send_state().await;
+                break;
+            }
+            Err(error) => log_event!(Event::StoreFailed, "call=nodes {error}"),
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
+        wait_ms = longest_ms.min(wait_ms * 2);
+    }
+    loop {
+        sleep(COLLECT_INTERVAL).await;
+        if shared.peers().is_first(shared.now_ms())
+            && let Err(error) = collect_entries(&shared).await
+        {
+            log_event!(Event::StoreFailed, "call=collect {error}");
+        }
+    }
+}
+
+fn take_node(shared: &Shared, value: &StoreValue) {
+    let Some(entry) = NodeEntry::decode(&value.value) else {
+        log_event!(Event::StoreValueInvalid, "key={}", value.key);
+        return;
+    };
+    let now_ms = shared.now_ms();
+    if value.key.starts_with(TARGETS_PREFIX) {
+        shared.state().targets.learn(entry.data, entry.control, &entry.zone, now_ms);
+    } else if value.key.starts_with(BALANCERS_PREFIX) {
+        shared.peers().learn(entry.control, entry.data, &entry.zone, now_ms);
+    }
+}
+
+/// Removes the entries of nodes that nobody has heard for long, if nobody has written them since.
+async fn collect_entries(shared: &Shared) -> Result<(), StoreError> {
+    let store = &shared.platform.store;
+    for value in store.range(OWN_PREFIX).await?.values {
+        let now_ms = shared.now_ms();
+        let is_over = match NodeEntry::decode(&value.value) {
+            None => true,
+            Some(entry) if value.key.starts_with(TARGETS_PREFIX) => {
+                shared.state().targets.agent(entry.data).is_none()
+            }
+            Some(entry) => shared.peers().is_forgotten(entry.control, now_ms),
+        };
+        if is_over {
+            let condition = Unchanged { key: value.key.clone(), revision: value.revision };
+            store.remove(std::slice::from_ref(&condition), &value.key).await?;
+            log_event!(Event::EntryRemoved, "key={}", value.key);
+        }
+    }
+    Ok(())
+}
+
+pub(super) async fn register(shared: Arc<Shared>) {
+    let node = &shared.settings.node;
+    let key = format!("{BALANCERS_PREFIX}{}", node.control_address);
+    let entry = NodeEntry {
+        data: shared.settings.exchange_address,
+        control: node.control_address,
+        zone: node.availability_zone.clone(),
+    };
+    registration::register(&shared.platform.store, &key, &entry).await;
+}
+
+/// Time between two looks at whether another balancer knows more.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
+
+/// How long another balancer may know more, in milliseconds, before it is asked: the store tells both
+/// within that time where it tells both at all.
+const BEHIND_MS: u64 = 600;
+
+/// Fetches the configuration from a balancer that knows more, while the store is silent.
+pub(super) async fn catch_up(shared: Arc<Shared>) {
+    let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+    let mut behind_since_ms = None;
+    loop {
+        sleep(CATCH_UP_INTERVAL).await;
+        let now_ms = shared.now_ms();
+        let own = shared.state().routing.newest_change();
+        let is_behind = own == 0 || !shared.peers().ahead_of(own).is_empty();
+        if !is_behind {
+            behind_since_ms = None;
+            continue;
+        }
+        let since_ms = *behind_since_ms.get_or_insert(now_ms);
+        if own != 0 && now_ms.saturating_sub(since_ms) < BEHIND_MS {
+            continue;
+        }
+        for exchange in sources(&shared, own) {
+            match exchange::fetch(&client, exchange).await {
+                Ok(snapshot) if snapshot.revision >= own => {
+                    let revision = snapshot.revision;
+                    log_event!(Event::ConfigurationFetched, "from={exchange} revision={revision}");
+                    let item = |item: ConfigurationItem| (item.key, item.value, item.revision);
+                    shared.take_items(snapshot.items.into_iter().map(item).collect(), revision);
+                    break;
+                }
+                Ok(_) => {}
+                Err(error) => log_event!(Event::CallFailed, "to={exchange} {error}"),
+            }
+        }
+    }
+}
+
+/// Balancers that know more than this one; the seeds as well while it knows nothing.
+fn sources(shared: &Shared, own_revision: u64) -> Vec<SocketAddrV4> {
+    let mut sources = shared.peers().ahead_of(own_revision);
+    if own_revision == 0 {
+        let own = shared.settings.exchange_address;
+        sources.extend(shared.seeds.current().into_iter().filter(|seed| *seed != own));
+    }
+    sources
+}
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -9,6 +9,7 @@
 pub mod agent_state;
 pub mod balancer;
 pub mod balancer_state;
+pub mod balancer_store;
 pub mod exchange;
 pub mod follower;
 pub mod message;
