An accepted opening is not yet a held flow

The agent that took the old copy was remembered as the holder, froze later, and the flow was reset as holder-silent. An agent now says whether the caller has acknowledged its target; only such a holder's silence ends a flow, and a mere acceptance takes no holder's place. Ruled out: the search (the log names holder-silent).

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     holder: Option<SocketAddrV4>,
+    is_confirmed: bool,
     used_ms: u64,
     searches: u32,
     first_search_ms: u64,
@@ -74,9 +75,19 @@
         entry.holder
     }
 
-    /// Notes that an agent holds the flow.
-    pub fn found(&mut self, flow: FlowKey, holder: SocketAddrV4, now_ms: u64) {
+    /// Whether the caller has acknowledged the target at the agent that is remembered.
+    pub fn is_confirmed(&self, flow: &FlowKey) -> bool {
+        self.entries.get(flow).is_some_and(|entry| entry.is_confirmed)
+    }
+
+    /// Notes that an agent holds the flow, or that its target has accepted the opening. The latter
+    /// takes the place of no agent that holds it.
+    pub fn found(&mut self, flow: FlowKey, holder: SocketAddrV4, is_confirmed: bool, now_ms: u64) {
         let entry = self.entry(flow, now_ms);
+        if entry.is_confirmed && !is_confirmed {
+            return;
+        }
+        entry.is_confirmed = is_confirmed;
         entry.holder = Some(holder);
         entry.searches = 0;
     }
@@ -153,6 +164,7 @@
         }
         let fresh = Entry {
             holder: None,
+            is_confirmed: false,
             used_ms: now_ms,
             searches: 0,
             first_search_ms: now_ms,
--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -116,6 +116,11 @@
             .is_none_or(|start| segment.acknowledged.wrapping_sub(start) > MAX_FIRST_ACKNOWLEDGED)
     }
 
+    /// Whether the caller has acknowledged the target on a flow.
+    pub fn is_confirmed(&self, flow: &FlowKey) -> bool {
+        self.flows.get(flow).is_some_and(|held| held.is_confirmed)
+    }
+
     /// Notes a caller's segment that is given to the target.
     pub fn note_to_target(&mut self, segment: &Segment, now_ms: u64) {
         let is_known = self.flows.contains_key(&segment.flow);
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -216,7 +216,9 @@
     }
 
     async fn tell_found(&self, flow: FlowKey, balancer: SocketAddrV4) {
-        let found = NodeMessage::Found(flow, self.settings.node.data_address);
+        let is_confirmed = self.state().flows.is_confirmed(&flow);
+        let holder = self.settings.node.data_address;
+        let found = NodeMessage::Found { flow, holder, is_confirmed };
         send(&self.control, &found.encode(), balancer).await;
     }
 
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -124,7 +124,8 @@
         if is_unheld || self.is_target_gone(now_ms) {
             return go_on(way, None);
         }
-        let asks = way.report_to.filter(|_| way.search != 0);
+        let is_first = holding != Holding::Unknown && !self.flows.is_confirmed(&segment.flow);
+        let asks = way.report_to.filter(|_| way.search != 0 || is_first);
         let tell = asks.filter(|_| holding == Holding::Held);
         if let Some(balancer) = asks.filter(|_| tell.is_none()) {
             self.asked.insert(segment.flow, balancer);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -536,8 +536,8 @@
                     shared.spread(status).await;
                 }
             }
-            Some(NodeMessage::Found(flow, holder)) => {
-                shared.state().found.found(flow, holder, now_ms);
+            Some(NodeMessage::Found { flow, holder, is_confirmed }) => {
+                shared.state().found.found(flow, holder, is_confirmed, now_ms);
             }
             Some(NodeMessage::Returned(returned)) => {
                 take_back(&shared, returned, &mut out).await;
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -224,6 +224,10 @@
         };
         match self.targets.liveness(holder, now_ms) {
             None => self.search_for(segment, now_ms),
+            // Another copy of the opening may have been taken by a target that answers.
+            Some(Liveness::Silent | Liveness::Awaited) if !self.found.is_confirmed(&flow) => {
+                self.search_for(segment, now_ms)
+            }
             Some(Liveness::Silent) if self.may_leave(&flow, now_ms) && !segment.resets => {
                 self.found.forget(&flow);
                 Forwarding::Reset(ResetReason::HolderSilent)
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -70,8 +70,15 @@
     Probe(Probe),
     /// Agent to balancer.
     Status(TargetStatus),
-    /// Agent to balancer: its target holds this flow.
-    Found(FlowKey, SocketAddrV4),
+    /// Agent to balancer: its target holds this flow, or has accepted its opening.
+    Found {
+        /// The flow.
+        flow: FlowKey,
+        /// Data address of the agent.
+        holder: SocketAddrV4,
+        /// Whether the caller has acknowledged the target.
+        is_confirmed: bool,
+    },
     /// Agent to balancer: no target of the chain holds the segment's flow.
     Returned(Returned),
     /// Balancer to balancer.
@@ -92,10 +99,11 @@
                 idle_timeout_ms: u32::try_from(probe.idle_timeout_ms).unwrap_or(u32::MAX),
             }),
             NodeMessage::Status(status) => Kind::Status(status_to_wire(status)),
-            NodeMessage::Found(flow, holder) => Kind::Found(wire::FlowFound {
+            NodeMessage::Found { flow, holder, is_confirmed } => Kind::Found(wire::FlowFound {
                 caller: pack_address(flow.caller),
                 service: pack_address(flow.service),
                 holder: pack_address(*holder),
+                confirmed: *is_confirmed,
             }),
             NodeMessage::Returned(returned) => Kind::Returned(wire::SegmentReturned {
                 agent: pack_address(returned.agent),
@@ -125,7 +133,11 @@
             Kind::Found(found) => {
                 let caller = unpack_address(found.caller)?;
                 let service = unpack_address(found.service)?;
-                NodeMessage::Found(FlowKey { caller, service }, unpack_address(found.holder)?)
+                NodeMessage::Found {
+                    flow: FlowKey { caller, service },
+                    holder: unpack_address(found.holder)?,
+                    is_confirmed: found.confirmed,
+                }
             }
             Kind::Returned(returned) => NodeMessage::Returned(Returned {
                 agent: unpack_address(returned.agent)?,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -367,6 +367,9 @@
     pub service: u64,
     #[prost(fixed64, tag = "3")]
     pub holder: u64,
+    /// The caller has acknowledged the target; before, a copy of the opening may have been taken elsewhere.
+    #[prost(bool, tag = "4")]
+    pub confirmed: bool,
 }
 /// An agent gives a segment back to its balancer: no target of the chain holds its flow.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -223,7 +223,7 @@
     a_copy_of_an_opening_that_was_taken_goes_there: {
         let mut balancer = balancer();
         let flow = opening(IDEMPOTENT, 1).flow;
-        balancer.found.found(flow, agent(12), 1);
+        balancer.found.found(flow, agent(12), true, 1);
         let copy = Segment { copy: 1, ..opening(IDEMPOTENT, 1) };
         assert_eq!(ways(balancer.forward(&copy, 201))[0][0], agent(12));
     };
@@ -265,7 +265,7 @@
     };
     a_found_flow_goes_straight_to_its_agent: {
         let mut balancer = balancer();
-        balancer.found.found(segment(ONCE, 1).flow, agent(22), 1);
+        balancer.found.found(segment(ONCE, 1).flow, agent(22), true, 1);
         assert_eq!(ways(balancer.forward(&segment(ONCE, 1), 2)), vec![vec![agent(22)]]);
     };
     a_flow_that_is_not_found_is_searched_for_along_one_chain_a_zone: {
@@ -360,12 +360,28 @@
         let mut balancer = balancer();
         let now_ms = silence(&mut balancer, 22, 1);
         for (route, expected) in [(IDEMPOTENT, true), (ONCE, false)] {
-            balancer.found.found(segment(route, 1).flow, agent(22), now_ms);
+            balancer.found.found(segment(route, 1).flow, agent(22), true, now_ms);
             let forwarding = balancer.forward(&segment(route, 1), now_ms);
             let is_reset = forwarding == Forwarding::Reset(ResetReason::HolderSilent);
             assert_eq!(is_reset, expected, "route {route}");
         }
     };
+    a_silent_agent_that_has_only_accepted_an_opening_is_not_the_flows_end: {
+        // A balancer that had stood still offered an old copy of an opening; another had been taken long
+        // before. The agent that took the old copy fell silent, and the flow was reset.
+        let mut balancer = balancer();
+        let now_ms = silence(&mut balancer, 22, 1);
+        balancer.found.found(segment(IDEMPOTENT, 1).flow, agent(22), false, now_ms);
+        let ways = ways(balancer.forward(&segment(IDEMPOTENT, 1), now_ms));
+        assert!(ways.iter().any(|chain| chain.contains(&agent(11))), "{ways:?}");
+    };
+    an_old_copy_of_an_opening_takes_no_flow_from_its_agent: {
+        let mut balancer = balancer();
+        let flow = segment(IDEMPOTENT, 1).flow;
+        balancer.found.found(flow, agent(11), true, 1);
+        balancer.found.found(flow, agent(22), false, 2);
+        assert_eq!(balancer.found.holder(&flow, 3), Some(agent(11)));
+    };
     old_news_alone_makes_nobody_silent: {
         let mut balancer = balancer();
         assert_eq!(balancer.targets.liveness(agent(22), 10_000), Some(Liveness::Awaited));
