--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -64,6 +64,9 @@
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4096;
 
+/// Agents that one log line lists at most.
+const MAX_LISTED: usize = 8;
+
 /// Time between two probes of an agent, in milliseconds: a quarter of the silence that counts.
 const PROBE_INTERVAL_MS: u64 = 300;
 
@@ -230,12 +233,9 @@
         revision: u64,
     ) {
         let (version, routes) = (configuration.version, configuration.routes.len());
-        let services = format!("{:?}", configuration.services);
         let applied = self.state().routing.apply_configuration(configuration, revision);
         if applied == Applied::Newer {
-            let details = format!(
-                "revision={revision} version={version} routes={routes} services={services}"
-            );
+            let details = format!("revision={revision} version={version} routes={routes}");
             log_event!(Event::ConfigurationChanged, "{details}");
         }
     }
@@ -483,7 +483,8 @@
         Forwarding::Drop(reason) => {
             count(&shared.metrics.dropped, reason.as_str());
             let flow = segment.flow;
-            let unanswering = shared.state().targets.unanswering(shared.now_ms());
+            let mut unanswering = shared.state().targets.unanswering(shared.now_ms());
+            unanswering.truncate(MAX_LISTED);
             log_event!(
                 Event::SegmentDropped,
                 "reason={} caller={} route={} unanswering={unanswering:?}",
