Only the first report of a life says that an agent has seen all of it

The condition was an estimate from the time of day; it is now exact: openings need a report, so whoever got the first one has seen every flow. The setting of the report interval is needless and gone.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -23,8 +23,6 @@
     pub id: String,
     /// Start of this life, in Unix milliseconds.
     pub started_ms: u64,
-    /// Time since then when the report arrived, in milliseconds of the time of day.
-    pub age_ms: u64,
     /// Number of this report in this life.
     pub sequence: u64,
     /// Service that it runs.
@@ -142,7 +140,6 @@
     life: Option<Life>,
     past_lives: VecDeque<(String, u64)>,
     is_whole: bool,
-    report_interval_ms: u64,
     silence_ms: u64,
     distrust_before_ms: u64,
     is_zone_out: bool,
@@ -150,9 +147,9 @@
     cold_openings_ms: VecDeque<u64>,
 }
 
-/// Age of a life, in percent of the time between two reports, up to which no earlier report of it can
-/// have been confirmed: the next one would not have come yet.
-const UNCONFIRMED_PERCENT: u64 = 50;
+/// Sequence of the first report of a life. Openings are given only to a life that has reported, so who
+/// got this one has seen every flow of it.
+const FIRST_SEQUENCE: u64 = 1;
 
 /// Past lives of the target that are remembered, so that late reports of theirs are told apart.
 const MAX_PAST_LIVES: usize = 16;
@@ -160,12 +157,11 @@
 impl TargetGate {
     /// Creates a gate that has heard nothing. A target that is silent for `silence_ms` takes no
     /// opening: its address may already belong to another service.
-    pub fn new(silence_ms: u64, report_interval_ms: u64) -> TargetGate {
+    pub fn new(silence_ms: u64) -> TargetGate {
         TargetGate {
             life: None,
             past_lives: VecDeque::new(),
             is_whole: false,
-            report_interval_ms,
             silence_ms,
             distrust_before_ms: 0,
             is_zone_out: false,
@@ -204,8 +200,7 @@
             }
         };
         if outcome == ReportOutcome::NewLife {
-            let bound_ms = self.report_interval_ms * UNCONFIRMED_PERCENT / 100;
-            self.is_whole = self.life.is_some() || report.age_ms < bound_ms;
+            self.is_whole = self.life.is_some() || report.sequence == FIRST_SEQUENCE;
             self.remember_past_life();
         }
         self.life = Some(Life { report, heard_ms: now_ms, cold_until_ms, has_ended: false });
@@ -269,7 +264,7 @@
 
     /// Whether this process has seen the known life of the target from its start, and so every flow of
     /// it: all segments to a target pass its agent. Either it knew the life before, or it got the first
-    /// report that was confirmed.
+    /// report.
     pub fn is_whole(&self) -> bool {
         self.is_whole
     }
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -114,7 +114,7 @@
     let shared = Arc::new(Shared {
         lifetime: rand::rng().random(),
         sequence: AtomicU64::new(0),
-        state: Mutex::new(AgentState::new(silence_ms, settings.report_interval_ms, clock.now_ms())),
+        state: Mutex::new(AgentState::new(silence_ms, clock.now_ms())),
         clock,
         balancers: Mutex::default(),
         is_stopping: AtomicBool::new(false),
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -82,9 +82,9 @@
 
 impl AgentState {
     /// Knows nothing yet. See [`TargetGate::new`] for `silence_ms`.
-    pub fn new(silence_ms: u64, report_interval_ms: u64, now_ms: u64) -> AgentState {
+    pub fn new(silence_ms: u64, now_ms: u64) -> AgentState {
         AgentState {
-            gate: TargetGate::new(silence_ms, report_interval_ms),
+            gate: TargetGate::new(silence_ms),
             flows: HeldFlows::new(),
             given: vec![None; SLOTS as usize],
             next_slot: 1,
--- a/src/process/passthrough/settings.rs
+++ b/src/process/passthrough/settings.rs
@@ -14,9 +14,6 @@
 /// Longest planned stop, in milliseconds (ten minutes).
 const MAX_STOP_MS: u64 = 600_000;
 
-/// Longest time between two reports of a target, in milliseconds.
-const MAX_REPORT_MS: u64 = 60_000;
-
 /// Time in which a silent connection to the store must be noticed, in milliseconds: the time after
 /// trouble in which the platform excuses what comes late.
 const DEFAULT_STORE_SILENCE_MS: u64 = 4_000;
@@ -70,8 +67,6 @@
     pub from_target_address: SocketAddrV4,
     /// Address at which the target announces itself.
     pub announce_address: SocketAddrV4,
-    /// Time between two reports of the target, in milliseconds.
-    pub report_interval_ms: u64,
     /// Time after which the address of a target that ended is used by another one, in milliseconds.
     pub address_reuse_ms: u64,
 }
@@ -95,14 +90,12 @@
             let target_address = section.address_v4("target_address");
             let from_target_address = section.address_v4("from_target_address");
             let announce_address = section.address_v4("announce_address");
-            let report_interval_ms = section.number("report_interval_ms", 10..=MAX_REPORT_MS, None);
             let address_reuse_ms = section.seconds_as_ms("address_reuse_s", 0..=MAX_STOP_MS / 1000);
             Some(PassthroughAgentSettings {
                 node: node?,
                 target_address: target_address?,
                 from_target_address: from_target_address?,
                 announce_address: announce_address?,
-                report_interval_ms: report_interval_ms?,
                 address_reuse_ms: address_reuse_ms?,
             })
         })
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -24,14 +24,12 @@
 
 /// Time after which an address is used by another service, less a tenth, in milliseconds.
 const SILENCE_MS: u64 = 1_800;
-const REPORT_INTERVAL_MS: u64 = 770;
 const NO_LOAD: TargetLoad = TargetLoad { flows: 0, busy: 0 };
 
 fn report(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
     TargetReport {
         id: id.to_owned(),
         started_ms,
-        age_ms: 10_000,
         sequence,
         service: "vypocet".to_owned(),
         is_leaving: false,
@@ -41,7 +39,7 @@
 }
 
 fn gate() -> TargetGate {
-    let mut gate = TargetGate::new(SILENCE_MS, REPORT_INTERVAL_MS);
+    let mut gate = TargetGate::new(SILENCE_MS);
     gate.report(report("a", 1, 1), 0);
     gate
 }
@@ -84,8 +82,8 @@
 }
 
 fn agent() -> AgentState {
-    let mut agent = AgentState::new(SILENCE_MS, REPORT_INTERVAL_MS, 0);
-    agent.gate.report(report("a", 1, 1), 0);
+    let mut agent = AgentState::new(SILENCE_MS, 0);
+    agent.gate.report(report("a", 1, 2), 0);
     agent
 }
 
@@ -116,7 +114,7 @@
 
 cases! {
     an_unknown_target_takes_no_flow: {
-        let mut gate = TargetGate::new(SILENCE_MS, REPORT_INTERVAL_MS);
+        let mut gate = TargetGate::new(SILENCE_MS);
         assert_eq!(admit(&mut gate, 0), Err(Refused::TargetSilent));
     };
     a_silent_target_takes_no_flow_before_its_address_is_used_again: {
@@ -247,7 +245,7 @@
         assert_eq!(agent.from_target(&returned, 2), Step::Drop);
     };
     an_opening_that_nobody_takes_is_refused_at_once: {
-        let mut agent = AgentState::new(SILENCE_MS, REPORT_INTERVAL_MS, 0);
+        let mut agent = AgentState::new(SILENCE_MS, 0);
         let step = agent.from_node(&opening(1), way(&[], 0), 1);
         assert_eq!(refusal_of(&step), Some(Refused::TargetSilent));
     };
@@ -278,7 +276,7 @@
         assert_eq!(agent.from_node(&segment(2), way(&[], 4), 4), given_back(4));
     };
     a_reset_of_a_target_that_nobody_knows_yet_reaches_no_caller: {
-        let mut agent = AgentState::new(SILENCE_MS, REPORT_INTERVAL_MS, 0);
+        let mut agent = AgentState::new(SILENCE_MS, 0);
         slot_of(&agent.from_node(&segment(1), way(&[], 4), 1));
         let reset = Segment { resets: true, ..segment(1) };
         assert_eq!(agent.from_target(&reset, 2), Step::Drop);
@@ -289,6 +287,11 @@
         let step = agent.from_target(&Segment { resets: true, ..segment(1) }, 2);
         assert!(matches!(step, Step::GiveToCaller { .. }), "{step:?}");
     };
+    an_agent_that_got_the_first_report_has_seen_every_flow: {
+        let mut agent = AgentState::new(SILENCE_MS, 0);
+        agent.gate.report(report("a", 1, 1), 0);
+        assert_eq!(agent.from_node(&segment(1), way(&[], 4), 1), given_back(4));
+    };
     an_agent_that_started_later_than_its_target_asks_it: {
         let mut agent = agent();
         slot_of(&agent.from_node(&segment(1), way(&[], 4), 2));
