An agent takes openings only once every balancer knows of it

Its target's agent had started after the balancer read the nodes, and only another balancer knew of it: for up to 600 ms, until that one's next state. In that time the balancer took itself for one that knows all agents, asked those, and reset the flow.

Change: an agent registers, reads the balancers from the store, tells each of them, and gives no opening to its target before all have probed it, or for 1.3 s. A balancer answers an agent that introduces itself with a probe, and takes the nodes for read only once it has read them after its own entry: of two that start at once, at least one sees the other. With the store away, the first balancer that probes has 1.3 s to tell the others.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -61,6 +61,8 @@
     Leaving,
     /// Has ended; its flows are gone.
     Ended,
+    /// Its agent has only just started, and waits until every balancer knows of it.
+    Introducing,
 }
 
 /// Limits that come with the configuration.
@@ -84,6 +86,8 @@
 /// Why an opening is not given to the target.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Refused {
+    /// Some balancer may not know of the agent yet.
+    NotIntroduced,
     /// Nothing heard of the target for a while, or at all.
     TargetSilent,
     /// The target runs another service.
@@ -102,7 +106,8 @@
 
 impl Refused {
     /// All reasons, for metrics and docs.
-    pub const ALL: [Refused; 7] = [
+    pub const ALL: [Refused; 8] = [
+        Refused::NotIntroduced,
         Refused::TargetSilent,
         Refused::OtherService,
         Refused::Leaving,
@@ -115,6 +120,7 @@
     /// Label of this reason in metrics and logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Refused::NotIntroduced => "not-introduced",
             Refused::TargetSilent => "target-silent",
             Refused::OtherService => "other-service",
             Refused::Leaving => "leaving",
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -53,6 +54,7 @@
 use crate::process::passthrough::settings::PassthroughAgentSettings;
 use crate::process::passthrough::way;
 use crate::process::signals;
+use crate::process::store::StoreError;
 use crate::version::target_table::TargetStatus;
 
 /// Largest datagram that is read, in bytes.
@@ -80,6 +82,9 @@
 /// How long an agent counts as new, in milliseconds.
 const NEW_MS: u64 = 3_000;
 
+/// First and longest wait after a failed read of the balancers, in milliseconds.
+const BALANCERS_RETRY_MS: (u64, u64) = (100, 1_000);
+
 /// How long a balancer that does not probe is still told of changes, in milliseconds.
 const BALANCER_SILENCE_MS: u64 = 5_000;
 
@@ -190,7 +195,9 @@
     }
 
     fn status(&self) -> NodeMessage {
-        let state = self.state();
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let phase = state.phase(now_ms);
         let known = state.gate.known();
         NodeMessage::Status(TargetStatus {
             data: self.settings.node.data_address,
@@ -199,7 +206,7 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             zone: self.settings.node.availability_zone.clone(),
             service: known.map_or_else(String::new, |report| report.service.clone()),
-            phase: state.gate.phase(self.now_ms()),
+            phase,
             slots: known.map_or(0, |report| report.slots),
             flows: state.flows.open(),
             busy: state.flows.busy(),
@@ -208,11 +215,36 @@
     }
 
     async fn tell_balancers(&self) {
-        let message = self.status().encode();
         let balancers: Vec<SocketAddrV4> = self.balancers().keys().copied().collect();
+        self.tell(&balancers).await;
+    }
+
+    /// Tells balancers that may not know of this agent yet.
+    async fn introduce(&self) {
+        let unanswered = self.state().introduction.unanswered();
+        self.tell(&unanswered).await;
+    }
+
+    async fn tell(&self, balancers: &[SocketAddrV4]) {
+        let message = self.status().encode();
         for balancer in balancers {
-            send(&self.control, &message, balancer).await;
+            send(&self.control, &message, *balancer).await;
+        }
+    }
+
+    /// Control addresses of the balancers that the store names.
+    async fn registered_balancers(&self) -> Result<IndexSet<SocketAddrV4>, StoreError> {
+        let values = self.platform.store.range(BALANCERS_PREFIX).await?.values;
+        let mut balancers = IndexSet::new();
+        for value in values {
+            match NodeEntry::decode(&value.value) {
+                Some(entry) => {
+                    balancers.insert(entry.control);
+                }
+                None => log_event!(Event::StoreValueInvalid, "key={}", value.key),
+            }
         }
+        Ok(balancers)
     }
 
     async fn tell_found(&self, flow: FlowKey, balancer: SocketAddrV4) {
@@ -417,10 +449,17 @@
             continue;
         };
         let now_ms = shared.now_ms();
-        shared.state().take_probe(&probe, now_ms);
         shared.balancers().insert(probe.balancer, now_ms);
-        let status = shared.status().encode();
-        send(&shared.control, &status, probe.balancer).await;
+        let has_new_phase = {
+            let mut state = shared.state();
+            let before = state.phase(now_ms);
+            state.take_probe(&probe, now_ms);
+            state.phase(now_ms) != before
+        };
+        if has_new_phase {
+            shared.changed.notify_one();
+        }
+        shared.tell(&[probe.balancer]).await;
     }
 }
 
@@ -439,6 +478,20 @@
         zone: node.availability_zone.clone(),
     };
     registration::register(&shared.platform.store, &shared.entry_key(), &entry).await;
+    let (mut wait_ms, longest_ms) = BALANCERS_RETRY_MS;
+    loop {
+        match shared.registered_balancers().await {
+            Ok(balancers) => {
+                let now_ms = shared.now_ms();
+                shared.state().introduction.note_named(balancers, now_ms);
+                shared.introduce().await;
+                return;
+            }
+            Err(error) => log_event!(Event::StoreFailed, "call=balancers {error}"),
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
+        wait_ms = longest_ms.min(wait_ms * 2);
+    }
 }
 
 async fn tick(shared: Arc<Shared>) {
@@ -458,7 +511,7 @@
                 state.note_stall(now_ms);
             }
             state.expire(now_ms);
-            state.gate.phase(now_ms)
+            state.phase(now_ms)
         };
         last_ms = now_ms;
         if fresh_phase != phase {
@@ -466,6 +519,9 @@
             phase = fresh_phase;
             shared.tell_balancers().await;
         }
+        if fresh_phase == TargetPhase::Introducing {
+            shared.introduce().await;
+        }
         let is_unprobed = {
             let mut balancers = shared.balancers();
             balancers.retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < BALANCER_SILENCE_MS);
@@ -486,27 +542,16 @@
 
 /// Tells the balancers that the store names that this agent exists.
 async fn tell_registered(shared: Arc<Shared>) {
-    let balancers = match shared.platform.store.range(BALANCERS_PREFIX).await {
-        Ok(snapshot) => snapshot.values,
-        Err(error) => {
-            log_event!(Event::StoreFailed, "call=balancers {error}");
-            return;
-        }
-    };
-    let message = shared.status().encode();
-    for value in balancers {
-        match NodeEntry::decode(&value.value) {
-            Some(entry) => send(&shared.control, &message, entry.control).await,
-            None => log_event!(Event::StoreValueInvalid, "key={}", value.key),
-        }
+    match shared.registered_balancers().await {
+        Ok(balancers) => shared.tell(&Vec::from_iter(balancers)).await,
+        Err(error) => log_event!(Event::StoreFailed, "call=balancers {error}"),
     }
 }
 
 /// Tells the seeds that this agent exists: the store may turn it away, or them.
 async fn tell_seeds(shared: &Shared) {
-    let message = shared.status().encode();
     let port = shared.settings.node.control_address.port();
-    for seed in shared.seeds.current() {
-        send(&shared.control, &message, SocketAddrV4::new(*seed.ip(), port)).await;
-    }
+    let seeds = shared.seeds.current().into_iter();
+    let seeds: Vec<SocketAddrV4> = seeds.map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect();
+    shared.tell(&seeds).await;
 }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -14,6 +14,7 @@
 use crate::connection::target_gate::TargetPhase;
 use crate::process::passthrough::message::Probe;
 use crate::process::passthrough::way::Way;
+use crate::version::introduction::Introduction;
 
 /// Segments at the target whose way is remembered; a power of two. 1,000 a second are given back
 /// within milliseconds.
@@ -72,6 +73,8 @@
     pub gate: TargetGate,
     /// Its flows.
     pub flows: HeldFlows,
+    /// Which balancers know of the agent.
+    pub introduction: Introduction,
     given: Vec<Option<Given>>,
     next_slot: u32,
     asked: IndexMap<FlowKey, SocketAddrV4>,
@@ -86,6 +89,7 @@
         AgentState {
             gate: TargetGate::new(silence_ms),
             flows: HeldFlows::new(),
+            introduction: Introduction::new(),
             given: vec![None; SLOTS as usize],
             next_slot: 1,
             asked: IndexMap::new(),
@@ -95,8 +99,19 @@
         }
     }
 
+    /// The phase that balancers are told.
+    pub fn phase(&mut self, now_ms: u64) -> TargetPhase {
+        let phase = self.gate.phase(now_ms);
+        let takes_flows = matches!(phase, TargetPhase::Serving | TargetPhase::Cold);
+        match takes_flows && !self.introduction.is_done(now_ms) {
+            true => TargetPhase::Introducing,
+            false => phase,
+        }
+    }
+
     /// Takes over what a balancer knows of the configuration. Says whether anything changed.
     pub fn take_probe(&mut self, probe: &Probe, now_ms: u64) -> bool {
+        self.introduction.note_heard(probe.balancer, now_ms);
         if probe.revision == 0 || probe.revision < self.configuration_revision {
             return false;
         }
@@ -172,6 +187,9 @@
     }
 
     fn open(&mut self, segment: &Segment, way: Way, now_ms: u64) -> Step {
+        if !self.introduction.is_done(now_ms) {
+            return go_on(way, Some(Refused::NotIntroduced));
+        }
         let load = TargetLoad { flows: self.flows.open(), busy: self.flows.busy() };
         let is_copy = self.flows.holding(&segment.flow) != Holding::Unknown;
         let may_pass = !way.chain.is_empty();
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -22,6 +22,7 @@
 use crate::connection::segment::Segment;
 use crate::connection::segment::Sender;
 use crate::connection::target_gate::GateLimits;
+use crate::connection::target_gate::TargetPhase;
 use crate::error::Error;
 use crate::error::Result;
 use crate::log_event;
@@ -158,7 +159,6 @@
     tokio::spawn(tick(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_nodes(Arc::clone(&shared)));
-    tokio::spawn(balancer_store::register(Arc::clone(&shared)));
     tokio::spawn(balancer_store::catch_up(Arc::clone(&shared)));
     let reloading = Arc::clone(&shared);
     tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
@@ -380,6 +380,28 @@
         }
     }
 
+    async fn take_status_of_agent(&self, status: TargetStatus) {
+        let (data, phase) = (status.data, status.phase);
+        if self.take_status(status.clone(), 0) {
+            self.spread(status).await;
+        }
+        if phase == TargetPhase::Introducing {
+            self.probe(data).await;
+        }
+    }
+
+    /// Probes one agent, which tells it that this balancer knows it.
+    async fn probe(&self, data: SocketAddrV4) {
+        let probe = {
+            let state = self.state();
+            let agent = state.targets.agent(data);
+            agent.map(|agent| (agent.control, self.probe_for(&state, agent)))
+        };
+        if let Some((control, probe)) = probe {
+            self.send_control(&NodeMessage::Probe(probe), control).await;
+        }
+    }
+
     /// Takes over a status; says whether it tells something new.
     fn take_status(&self, status: TargetStatus, age_ms: u64) -> bool {
         let now_ms = self.now_ms();
@@ -533,9 +555,7 @@
         let now_ms = shared.now_ms();
         match NodeMessage::decode(&buffer[..length]) {
             Some(NodeMessage::Status(status)) => {
-                if shared.take_status(status.clone(), 0) {
-                    shared.spread(status).await;
-                }
+                shared.take_status_of_agent(status).await;
             }
             Some(NodeMessage::Found { flow, holder, is_confirmed }) => {
                 shared.state().found.found(flow, holder, is_confirmed, now_ms);
--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -64,33 +64,37 @@
 /// First and longest wait after a failed read of the nodes, in milliseconds.
 const NODES_RETRY_MS: (u64, u64) = (100, 1_000);
 
-/// Reads the nodes once; later ones make themselves known. Then removes, where this balancer is the
-/// first, the entries of nodes that do not come back.
+/// Reads the nodes, and again once this balancer is registered: later ones find it in the store and
+/// make themselves known. Then removes, where this balancer is the first, the entries of nodes that do
+/// not come back.
 pub(super) async fn follow_nodes(shared: Arc<Shared>) {
+    tokio::join!(read_nodes(&shared), register(&shared));
+    read_nodes(&shared).await;
+    shared.has_read_nodes.store(true, Ordering::Relaxed);
+    loop {
+        sleep(COLLECT_INTERVAL).await;
+        if shared.peers().is_first(shared.now_ms())
+            && let Err(error) = collect_entries(&shared).await
+        {
+            log_event!(Event::StoreFailed, "call=collect {error}");
+        }
+    }
+}
+
+async fn read_nodes(shared: &Shared) {
     let (mut wait_ms, longest_ms) = NODES_RETRY_MS;
-    let store = &shared.platform.store;
     loop {
-        match store.range(OWN_PREFIX).await {
+        match shared.platform.store.range(OWN_PREFIX).await {
             Ok(snapshot) => {
-                snapshot.values.iter().for_each(|value| take_node(&shared, value));
-                shared.has_read_nodes.store(true, Ordering::Relaxed);
+                snapshot.values.iter().for_each(|value| take_node(shared, value));
                 shared.probe_soon.notify_one();
-                shared.send_state().await;
-                break;
+                return shared.send_state().await;
             }
             Err(error) => log_event!(Event::StoreFailed, "call=nodes {error}"),
         }
         sleep(Duration::from_millis(wait_ms)).await;
         wait_ms = longest_ms.min(wait_ms * 2);
     }
-    loop {
-        sleep(COLLECT_INTERVAL).await;
-        if shared.peers().is_first(shared.now_ms())
-            && let Err(error) = collect_entries(&shared).await
-        {
-            log_event!(Event::StoreFailed, "call=collect {error}");
-        }
-    }
 }
 
 fn take_node(shared: &Shared, value: &StoreValue) {
@@ -127,7 +131,7 @@
     Ok(())
 }
 
-pub(super) async fn register(shared: Arc<Shared>) {
+async fn register(shared: &Shared) {
     let node = &shared.settings.node;
     let key = format!("{BALANCERS_PREFIX}{}", node.control_address);
     let entry = NodeEntry {
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -3,6 +3,7 @@
 pub mod balancer_table;
 pub mod digest;
 pub mod hash;
+pub mod introduction;
 pub mod keeper;
 pub mod message;
 pub mod peer;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -345,7 +345,7 @@
     pub zone: ::prost::alloc::string::String,
     #[prost(string, tag = "6")]
     pub service: ::prost::alloc::string::String,
-    /// 0 unknown, 1 serving, 2 cold, 3 leaving, 4 ended.
+    /// 0 unknown, 1 serving, 2 cold, 3 leaving, 4 ended, 5 introducing.
     #[prost(uint32, tag = "7")]
     pub phase: u32,
     #[prost(uint32, tag = "8")]
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
+use indexmap::IndexSet;
 use rhubarbthread::connection::flow_key::FlowKey;
 use rhubarbthread::connection::held_flows::HeldFlows;
 use rhubarbthread::connection::held_flows::Holding;
@@ -84,9 +85,29 @@
 fn agent() -> AgentState {
     let mut agent = AgentState::new(SILENCE_MS, 0);
     agent.gate.report(report("a", 1, 2), 0);
+    agent.introduction.note_named(IndexSet::new(), 0);
     agent
 }
 
+/// An agent that has just started, with the balancers that the store names.
+fn fresh_agent(balancers: &[SocketAddrV4]) -> AgentState {
+    let mut agent = AgentState::new(SILENCE_MS, 0);
+    agent.gate.report(report("a", 1, 2), 0);
+    agent.introduction.note_named(balancers.iter().copied().collect(), 0);
+    agent
+}
+
+fn probe_from(balancer: SocketAddrV4) -> Probe {
+    Probe {
+        balancer,
+        revision: 8,
+        is_zone_out: false,
+        service: String::new(),
+        limits: GateLimits { cold_openings_per_s: None, max_flows: 10 },
+        idle_timeout_ms: 0,
+    }
+}
+
 fn slot_of(step: &Step) -> u32 {
     match step {
         Step::GiveToTarget { slot, .. } => *slot,
@@ -244,8 +265,39 @@
         let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(2) };
         assert_eq!(agent.from_target(&returned, 2), Step::Drop);
     };
+    an_agent_takes_no_opening_before_every_balancer_knows_of_it: {
+        // A flow opened at an agent that one balancer did not know, which reset it as not held.
+        let (first, second) = (address(9, 7720), address(8, 7720));
+        let mut agent = fresh_agent(&[first, second]);
+        agent.take_probe(&probe_from(first), 1);
+        let step = agent.from_node(&opening(1), way(&[], 0), 2);
+        assert_eq!(refusal_of(&step), Some(Refused::NotIntroduced));
+        assert_eq!(agent.phase(2), TargetPhase::Introducing);
+        assert_eq!(agent.introduction.unanswered(), [second]);
+        agent.take_probe(&probe_from(second), 3);
+        assert_eq!(agent.phase(3), TargetPhase::Serving);
+        slot_of(&agent.from_node(&opening(1), way(&[], 0), 3));
+    };
+    a_balancer_that_does_not_answer_holds_an_agent_up_for_a_moment_only: {
+        let mut agent = fresh_agent(&[address(9, 7720)]);
+        assert_eq!(agent.phase(1_299), TargetPhase::Introducing);
+        assert_eq!(agent.phase(1_300), TargetPhase::Serving);
+    };
+    an_agent_without_balancers_is_found_in_the_store: {
+        let mut agent = fresh_agent(&[]);
+        assert_eq!(agent.phase(0), TargetPhase::Serving);
+    };
+    with_the_store_away_the_first_balancer_tells_the_others: {
+        let mut agent = AgentState::new(SILENCE_MS, 0);
+        agent.gate.report(report("a", 1, 2), 4_000);
+        assert_eq!(agent.phase(4_000), TargetPhase::Introducing);
+        agent.take_probe(&probe_from(address(9, 7720)), 4_000);
+        assert_eq!(agent.phase(5_299), TargetPhase::Introducing);
+        assert_eq!(agent.phase(5_300), TargetPhase::Serving);
+    };
     an_opening_that_nobody_takes_is_refused_at_once: {
         let mut agent = AgentState::new(SILENCE_MS, 0);
+        agent.introduction.note_named(IndexSet::new(), 0);
         let step = agent.from_node(&opening(1), way(&[], 0), 1);
         assert_eq!(refusal_of(&step), Some(Refused::TargetSilent));
     };
