Stand-ins wait until the address they were given is free

Cause: two, both in the tests' own stand-ins. A crashed target said that it had ended before its listener was closed (the parameter was dropped after the local), and one that crashed before its task ran never closed it. And a process that another test starts at that moment holds a copy of every socket until its program is loaded.

Ruled out: connections in TIME_WAIT (the listener sets SO_REUSEADDR); other users of the port (below the ephemeral range, own loopback host).

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for what surrounds rhubarbthread, for tests, demonstrations and measurements.
 
+pub mod address_in_use;
 pub mod baseline;
 pub mod fabric;
 pub mod load;
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -33,8 +33,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::watch::Receiver;
+use tokio::sync::watch::Sender;
 use tokio::time::sleep;
 
+use crate::address_in_use::bind_when_free;
+
 /// Time between two renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -107,7 +111,7 @@
     plan: TargetPlan,
     state: Mutex<State>,
     ended: Notify,
-    stop: tokio::sync::watch::Sender<bool>,
+    stop: Sender<bool>,
 }
 
 type Body = BoxBody<Bytes, Infallible>;
@@ -115,7 +119,7 @@
 impl Target {
     /// Serves, announces itself and renews, in background tasks.
     pub async fn start(plan: TargetPlan) -> io::Result<Arc<Target>> {
-        let listener = TcpListener::bind(plan.listen).await?;
+        let listener = bind_when_free(|| TcpListener::bind(plan.listen)).await?;
         let bears = if plan.warm { plan.slots } else { plan.first_limit };
         let stats = TargetStats { process: plan.process.clone(), ..TargetStats::default() };
         let state = State { stats, bears, answers_since: 0, ran: IndexMap::new(), leaving: false };
@@ -123,9 +127,9 @@
             plan,
             state: Mutex::new(state),
             ended: Notify::new(),
-            stop: tokio::sync::watch::Sender::new(false),
+            stop: Sender::new(false),
         });
-        tokio::spawn(Arc::clone(&target).accept(listener));
+        tokio::spawn(Arc::clone(&target).accept(target.stop.subscribe(), listener));
         tokio::spawn(Arc::clone(&target).keep_announced());
         Ok(target)
     }
@@ -171,8 +175,8 @@
         self.state.lock().expect("lock is not poisoned")
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut stop = self.stop.subscribe();
+    /// Parameters are dropped last to first: the listener is closed before `stop` says so.
+    async fn accept(self: Arc<Self>, mut stop: Receiver<bool>, listener: TcpListener) {
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
--- /dev/null
+++ b/tests/standin_target.rs
@@ -0,0 +1,70 @@
+//! The stand-in for a target: what the failure tests rely on.
+
+#[macro_use]
+mod support;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::process::Command;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use rhubarbthread_standins::target::Target;
+use rhubarbthread_standins::target::TargetPlan;
+use tokio::runtime::Builder;
+
+/// Targets that start one after the other at one address.
+const LIVES: u32 = 1_000;
+
+/// Threads that start a process after the other.
+const STARTING_PROCESSES: usize = 4;
+
+fn plan(listen: SocketAddrV4) -> TargetPlan {
+    TargetPlan {
+        listen: listen.into(),
+        agent: SocketAddrV4::new(*listen.ip(), 7002),
+        service: "vypocet".to_owned(),
+        slots: 1,
+        connections: 1,
+        first_limit: 1,
+        growth_answers: 1,
+        warm: true,
+        process: "a".to_owned(),
+        sheds: false,
+    }
+}
+
+/// Starts and crashes a target at one address again and again.
+fn start_and_crash(host: u8, lives: u32) {
+    let runtime = Builder::new_multi_thread().worker_threads(4).enable_all().build();
+    runtime.expect("a runtime starts").block_on(async {
+        let listen = SocketAddrV4::new(Ipv4Addr::new(127, 79, 3, host), 8080);
+        for life in 0..lives {
+            let target = Target::start(plan(listen)).await;
+            let target = target.unwrap_or_else(|error| panic!("life {life}: {error}"));
+            target.crash().await;
+        }
+    });
+}
+
+cases! {
+    the_address_of_a_crashed_target_is_free_at_once: start_and_crash(1, LIVES);
+    a_process_that_starts_meanwhile_does_not_keep_the_address: {
+        // A new process holds a copy of every socket until its program is loaded.
+        let is_over = AtomicBool::new(false);
+        thread::scope(|scope| {
+            for _ in 0..STARTING_PROCESSES {
+                scope.spawn(|| {
+                    while !is_over.load(Ordering::Relaxed) {
+                        let ended = Command::new("true").status();
+                        assert!(ended.expect("the program starts").success());
+                    }
+                });
+            }
+            let lives = scope.spawn(|| start_and_crash(2, LIVES)).join();
+            is_over.store(true, Ordering::Relaxed);
+            lives.expect("each life finds its address free");
+        });
+    };
+}
