--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -171,7 +171,7 @@
         let key = shared.entry_key();
         let removal = shared.platform.store.remove(&[], &key);
         if let Err(error) = removal.await {
-            log_event!(Event::StoreFailed, "call=remove {error}");
+            shared.metrics.note_store_failure("remove", &error);
         }
     }
     log_event!(Event::Stopped);
@@ -277,8 +277,9 @@
     ) {
         let flow = segment.flow;
         match step {
-            Step::GiveToTarget { slot, tell } => {
+            Step::GiveToTarget { slot, tell, hops } => {
                 count(&self.metrics.segments, "to-target");
+                self.metrics.hops.observe(f64::from(hops));
                 self.platform.segments.prepare(datagram, slot);
                 send(&self.from_target, datagram, self.settings.target_address).await;
                 if let Some(balancer) = tell {
@@ -477,7 +478,8 @@
         control: node.control_address,
         zone: node.availability_zone.clone(),
     };
-    registration::register(&shared.platform.store, &shared.entry_key(), &entry).await;
+    let (store, key) = (&shared.platform.store, shared.entry_key());
+    registration::register(store, &key, &entry, &shared.metrics).await;
     let (mut wait_ms, longest_ms) = BALANCERS_RETRY_MS;
     loop {
         match shared.registered_balancers().await {
@@ -487,7 +489,7 @@
                 shared.introduce().await;
                 return;
             }
-            Err(error) => log_event!(Event::StoreFailed, "call=balancers {error}"),
+            Err(error) => shared.metrics.note_store_failure("balancers", &error),
         }
         sleep(Duration::from_millis(wait_ms)).await;
         wait_ms = longest_ms.min(wait_ms * 2);
@@ -544,7 +546,7 @@
 async fn tell_registered(shared: Arc<Shared>) {
     match shared.registered_balancers().await {
         Ok(balancers) => shared.tell(&Vec::from_iter(balancers)).await,
-        Err(error) => log_event!(Event::StoreFailed, "call=balancers {error}"),
+        Err(error) => shared.metrics.note_store_failure("balancers", &error),
     }
 }
 
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -36,6 +36,8 @@
         slot: u32,
         /// Balancer to tell that the flow is here.
         tell: Option<SocketAddrV4>,
+        /// Agents that the segment has come through, this one included.
+        hops: u32,
     },
     /// Pass it to the next agent.
     PassOn(SocketAddrV4, Way, Option<Refused>),
@@ -146,7 +148,8 @@
             self.asked.insert(segment.flow, balancer);
         }
         self.flows.note_to_target(segment, now_ms);
-        Step::GiveToTarget { slot: self.remember(segment.flow, way), tell }
+        let hops = way.hops + 1;
+        Step::GiveToTarget { slot: self.remember(segment.flow, way), tell, hops }
     }
 
     /// Decides on a segment that came from the target.
@@ -199,7 +202,8 @@
                 if let Some(balancer) = way.report_to {
                     self.asked.insert(segment.flow, balancer);
                 }
-                Step::GiveToTarget { slot: self.remember(segment.flow, way), tell: None }
+                let hops = way.hops + 1;
+                Step::GiveToTarget { slot: self.remember(segment.flow, way), tell: None, hops }
             }
             Err(refused) => go_on(way, Some(refused)),
         }
@@ -247,6 +251,7 @@
 fn go_on(mut way: Way, refused: Option<Refused>) -> Step {
     if !way.chain.is_empty() {
         let next = way.chain.remove(0);
+        way.hops += 1;
         return Step::PassOn(next, way, refused);
     }
     match way.report_to {
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -202,7 +202,8 @@
         let first = chain.remove(0);
         self.targets.note_offer(first);
         let search = self.found.begin_opening(flow, now_ms);
-        let way = Way { chain, service, report_to: Some(self.control), search };
+        let report_to = Some(self.control);
+        let way = Way { chain, service, report_to, search, hops: 0 };
         Forwarding::Send(vec![(first, way)])
     }
 
--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -40,6 +40,10 @@
             self.0.take_change(change);
         }
     }
+
+    fn note_failure(&self, error: &StoreError) {
+        self.0.metrics.note_store_failure("follow-operators", error);
+    }
 }
 
 /// Pause after a change of the configuration, of the three seconds in which it must be in force.
@@ -76,7 +80,7 @@
         if shared.peers().is_first(shared.now_ms())
             && let Err(error) = collect_entries(&shared).await
         {
-            log_event!(Event::StoreFailed, "call=collect {error}");
+            shared.metrics.note_store_failure("collect", &error);
         }
     }
 }
@@ -90,7 +94,7 @@
                 shared.probe_soon.notify_one();
                 return shared.send_state().await;
             }
-            Err(error) => log_event!(Event::StoreFailed, "call=nodes {error}"),
+            Err(error) => shared.metrics.note_store_failure("nodes", &error),
         }
         sleep(Duration::from_millis(wait_ms)).await;
         wait_ms = longest_ms.min(wait_ms * 2);
@@ -139,7 +143,7 @@
         control: node.control_address,
         zone: node.availability_zone.clone(),
     };
-    registration::register(&shared.platform.store, &key, &entry).await;
+    registration::register(&shared.platform.store, &key, &entry, &shared.metrics).await;
 }
 
 /// Time between two looks at whether another balancer knows more.
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -25,6 +25,9 @@
 
     /// Changes since.
     fn take_changes(&self, changes: &[StoreChange]);
+
+    /// A call failed; it is made again.
+    fn note_failure(&self, error: &StoreError);
 }
 
 /// How often a follower calls the store.
@@ -42,12 +45,11 @@
     loop {
         let result = read_and_watch(store.as_ref(), prefix, pace, following, &mut failures).await;
         let Err(error) = result;
+        following.note_failure(&error);
         if error == StoreError::Compacted {
-            log_event!(Event::StoreFailed, "call=watch prefix={prefix} {error}");
             continue;
         }
         failures += 1;
-        log_event!(Event::StoreFailed, "prefix={prefix} failures={failures} {error}");
         sleep(backoff(failures)).await;
     }
 }
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -9,13 +9,21 @@
 use rocket::get;
 use rocket::routes;
 
+use crate::log_event;
+use crate::process::events::Event;
 use crate::process::metrics::ReasonCounter;
+use crate::process::metrics::count;
 use crate::process::metrics::encode_registry;
+use crate::process::store::StoreError;
 
 /// Upper bounds of the histogram of answers, in seconds: the latency objectives of 0.15 to 0.8 s lie
 /// between them.
 const ANSWER_BOUNDS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
 
+/// Upper bounds of the histogram of hops: a segment whose flow is known comes straight; a search asks
+/// one agent after the other, up to [`MAX_CHAIN`](crate::version::target_table::MAX_CHAIN).
+const HOP_BOUNDS: [f64; 6] = [1.0, 2.0, 3.0, 4.0, 8.0, 48.0];
+
 /// Metrics of a balancer or an agent; what a role does not do stays at 0.
 #[derive(Debug)]
 pub struct PassthroughMetrics {
@@ -32,6 +40,8 @@
     pub searches: Counter,
     /// Failed store calls, by call.
     pub store_failures: ReasonCounter,
+    /// Agents that a segment came through to its target.
+    pub hops: Histogram,
     /// Flows that are remembered or seen.
     pub flows: Gauge,
     /// Flows whose caller waits for an answer.
@@ -51,6 +61,7 @@
             refused_openings: Family::default(),
             searches: Counter::default(),
             store_failures: Family::default(),
+            hops: Histogram::new(HOP_BOUNDS),
             flows: Gauge::default(),
             busy: Gauge::default(),
             answers_s: Histogram::new(ANSWER_BOUNDS_S),
@@ -66,12 +77,19 @@
         );
         registry.register("searches", "Searches for flows", metrics.searches.clone());
         registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
+        registry.register("hops", "Agents on a segment's way", metrics.hops.clone());
         registry.register("flows", "Flows remembered or seen", metrics.flows.clone());
         registry.register("busy_flows", "Flows that wait for an answer", metrics.busy.clone());
         registry.register("answer_seconds", "Request to answer", metrics.answers_s.clone());
         metrics
     }
 
+    /// Counts and logs a failed call of the store; the caller makes it again.
+    pub fn note_store_failure(&self, call: &'static str, error: &StoreError) {
+        count(&self.store_failures, call);
+        log_event!(Event::StoreFailed, "call={call} {error}");
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         encode_registry(&self.registry)
--- a/src/process/passthrough/registration.rs
+++ b/src/process/passthrough/registration.rs
@@ -15,6 +15,7 @@
 use crate::connection::flow_key::unpack_address;
 use crate::log_event;
 use crate::process::events::Event;
+use crate::process::passthrough::metrics::PassthroughMetrics;
 use crate::process::store::Put;
 use crate::process::store::Store;
 use crate::wire::NodeAddress;
@@ -56,13 +57,18 @@
 }
 
 /// Writes the entry, and tries again until the store takes it. Writing it twice does no harm.
-pub async fn register(store: &Arc<dyn Store>, key: &str, entry: &NodeEntry) {
+pub async fn register(
+    store: &Arc<dyn Store>,
+    key: &str,
+    entry: &NodeEntry,
+    metrics: &PassthroughMetrics,
+) {
     let put = Put { key: key.to_owned(), value: entry.encode(), lease: None };
     let (mut wait_ms, longest_ms) = RETRY_MS;
     loop {
         match store.transaction(&[], std::slice::from_ref(&put)).await {
             Ok(_) => return log_event!(Event::Registered, "key={key}"),
-            Err(error) => log_event!(Event::StoreFailed, "call=register {error}"),
+            Err(error) => metrics.note_store_failure("register", &error),
         }
         sleep(Duration::from_millis(wait_ms)).await;
         wait_ms = longest_ms.min(wait_ms * 2);
--- a/src/process/passthrough/way.rs
+++ b/src/process/passthrough/way.rs
@@ -29,6 +29,8 @@
     pub report_to: Option<SocketAddrV4>,
     /// Number of the balancer's search for the flow; 0 where the flow should be at the receiver.
     pub search: u32,
+    /// Agents that have passed the segment on.
+    pub hops: u32,
 }
 
 /// Why a datagram between nodes does not parse.
@@ -60,6 +62,7 @@
         service: way.service.clone(),
         report_to: way.report_to.map_or(0, pack_address),
         search: way.search,
+        hops: way.hops,
     };
     let length = u16::try_from(header.encoded_len()).unwrap_or(u16::MAX);
     out.clear();
@@ -96,6 +99,7 @@
         service: header.service,
         report_to,
         search: header.search,
+        hops: header.hops,
     };
     Ok((way, PREFIX_BYTES + length))
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -285,6 +285,9 @@
     /// Number of the balancer's search for the flow; 0 where the flow should be at the receiver.
     #[prost(uint32, tag = "5")]
     pub search: u32,
+    /// Agents that have passed the segment on.
+    #[prost(uint32, tag = "6")]
+    pub hops: u32,
 }
 /// One datagram between the control sockets of balancers and agents.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -79,6 +79,7 @@
         service: "vypocet".to_owned(),
         report_to: Some(address(9, 7720)),
         search,
+        hops: 0,
     }
 }
 
@@ -248,7 +249,7 @@
         let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(1) };
         match agent.from_target(&returned, 2) {
             Step::PassOn(agent, way, None) => {
-                assert_eq!((agent, way.chain.len(), way.search), (next, 0, 4));
+                assert_eq!((agent, way.chain.len(), way.search, way.hops), (next, 0, 4, 1));
             }
             other => panic!("it is passed on, not {other:?}"),
         }
