An introduction waits 0.25 s at most; a balancer that stood still reads the nodes again

An answer that is not there after three tellings does not come; a slow balancer has the datagrams in its queue.

Ruled out: the second read of the nodes (balancers knew all agents within 0.1 s of the start).

A balancer that froze did not know the agents that started meanwhile, and still took itself for informed: it reads the nodes and hears the others again first (test in balancers_that_are_known_and_not_heard_are_waited_for; a freeze itself was not played).

--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -82,6 +82,10 @@
 /// How long an agent counts as new, in milliseconds.
 const NEW_MS: u64 = 3_000;
 
+/// Time between two rounds of telling balancers that may not know of this agent: a third of the time
+/// that they have.
+const INTRODUCTION_PAUSE: Duration = Duration::from_millis(80);
+
 /// First and longest wait after a failed read of the balancers, in milliseconds.
 const BALANCERS_RETRY_MS: (u64, u64) = (100, 1_000);
 
@@ -219,12 +223,6 @@
         self.tell(&balancers).await;
     }
 
-    /// Tells balancers that may not know of this agent yet.
-    async fn introduce(&self) {
-        let unanswered = self.state().introduction.unanswered();
-        self.tell(&unanswered).await;
-    }
-
     async fn tell(&self, balancers: &[SocketAddrV4]) {
         let message = self.status().encode();
         for balancer in balancers {
@@ -486,14 +484,30 @@
             Ok(balancers) => {
                 let now_ms = shared.now_ms();
                 shared.state().introduction.note_named(balancers, now_ms);
-                shared.introduce().await;
-                return;
+                break;
             }
             Err(error) => shared.metrics.note_store_failure("balancers", &error),
         }
         sleep(Duration::from_millis(wait_ms)).await;
         wait_ms = longest_ms.min(wait_ms * 2);
     }
+    introduce(&shared).await;
+}
+
+/// Tells the balancers that may not know of this agent yet until it may take openings.
+async fn introduce(shared: &Shared) {
+    loop {
+        let now_ms = shared.now_ms();
+        let unanswered = {
+            let mut state = shared.state();
+            (!state.introduction.is_done(now_ms)).then(|| state.introduction.unanswered())
+        };
+        let Some(unanswered) = unanswered else {
+            return shared.changed.notify_one();
+        };
+        shared.tell(&unanswered).await;
+        sleep(INTRODUCTION_PAUSE).await;
+    }
 }
 
 async fn tick(shared: Arc<Shared>) {
@@ -521,9 +535,6 @@
             phase = fresh_phase;
             shared.tell_balancers().await;
         }
-        if fresh_phase == TargetPhase::Introducing {
-            shared.introduce().await;
-        }
         let is_unprobed = {
             let mut balancers = shared.balancers();
             balancers.retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < BALANCER_SILENCE_MS);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -107,6 +107,7 @@
     pub(super) is_stopping: AtomicBool,
     pub(super) probe_soon: Notify,
     pub(super) has_read_nodes: AtomicBool,
+    pub(super) read_nodes_again: Notify,
     pub(super) metrics: PassthroughMetrics,
     pub(super) control: UdpSocket,
     pub(super) data: UdpSocket,
@@ -134,6 +135,7 @@
         is_stopping: AtomicBool::new(false),
         probe_soon: Notify::new(),
         has_read_nodes: AtomicBool::new(false),
+        read_nodes_again: Notify::new(),
         metrics: PassthroughMetrics::new(),
         control,
         data,
@@ -159,6 +161,7 @@
     tokio::spawn(tick(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_nodes(Arc::clone(&shared)));
+    tokio::spawn(balancer_store::collect_left_behind(Arc::clone(&shared)));
     tokio::spawn(balancer_store::catch_up(Arc::clone(&shared)));
     let reloading = Arc::clone(&shared);
     tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
@@ -296,6 +299,15 @@
         }
     }
 
+    /// This process stood still: agents may have started that it does not know.
+    fn note_stall(&self, now_ms: u64) {
+        self.state().targets.note_stall(now_ms);
+        self.state().knows_all_agents = false;
+        self.peers().note_stall(now_ms);
+        self.has_read_nodes.store(false, Ordering::Relaxed);
+        self.read_nodes_again.notify_one();
+    }
+
     /// Notes whether this balancer knows all agents: the store has named the nodes, and the other
     /// balancers have told of theirs; or all have had time to make themselves known.
     fn note_knowledge(&self, running_ms: u64) {
@@ -574,8 +586,8 @@
 async fn tick(shared: Arc<Shared>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let started_ms = shared.now_ms();
-    let mut last_ms = started_ms;
+    let mut running_since_ms = shared.now_ms();
+    let mut last_ms = running_since_ms;
     let (mut probed_ms, mut told_ms, mut swept_ms) = (0, 0, 0);
     loop {
         tokio::select! {
@@ -585,14 +597,15 @@
         let now_ms = shared.now_ms();
         if now_ms - last_ms > STALL_MS {
             log_event!(Event::Stalled, "for_ms={}", now_ms - last_ms);
-            shared.state().targets.note_stall(now_ms);
+            running_since_ms = now_ms;
+            shared.note_stall(now_ms);
         }
         last_ms = now_ms;
         let is_round = now_ms - probed_ms >= PROBE_INTERVAL_MS;
         if is_round {
             probed_ms = now_ms;
         }
-        shared.note_knowledge(now_ms - started_ms);
+        shared.note_knowledge(now_ms - running_since_ms);
         shared.send_probes(is_round).await;
         if now_ms - told_ms >= STATE_INTERVAL_MS {
             told_ms = now_ms;
--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -69,12 +69,18 @@
 const NODES_RETRY_MS: (u64, u64) = (100, 1_000);
 
 /// Reads the nodes, and again once this balancer is registered: later ones find it in the store and
-/// make themselves known. Then removes, where this balancer is the first, the entries of nodes that do
-/// not come back.
+/// make themselves known. Reads them again after a stall, in which some may have come and gone.
 pub(super) async fn follow_nodes(shared: Arc<Shared>) {
     tokio::join!(read_nodes(&shared), register(&shared));
-    read_nodes(&shared).await;
-    shared.has_read_nodes.store(true, Ordering::Relaxed);
+    loop {
+        read_nodes(&shared).await;
+        shared.has_read_nodes.store(true, Ordering::Relaxed);
+        shared.read_nodes_again.notified().await;
+    }
+}
+
+/// Removes, where this balancer is the first, the entries of nodes that do not come back.
+pub(super) async fn collect_left_behind(shared: Arc<Shared>) {
     loop {
         sleep(COLLECT_INTERVAL).await;
         if shared.peers().is_first(shared.now_ms())
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -167,6 +167,14 @@
         control != self.own && self.peers.get(&control).is_none_or(|peer| is_over(peer, now_ms))
     }
 
+    /// This process stood still: what the others know by now it must hear again.
+    pub fn note_stall(&mut self, now_ms: u64) {
+        for peer in self.peers.values_mut() {
+            peer.heard_ms = None;
+            peer.known_since_ms = now_ms;
+        }
+    }
+
     /// Whether every balancer that is known has been heard, or has had time to be.
     pub fn is_settled(&self, now_ms: u64) -> bool {
         let is_settled = |peer: &Peer| {
--- a/src/version/introduction.rs
+++ b/src/version/introduction.rs
@@ -8,13 +8,14 @@
 
 use indexmap::IndexSet;
 
-/// Time that a balancer has to answer, in milliseconds: it is told each 250 ms, and one that does not
-/// answer by then is gone or cut off.
-const ANSWER_MS: u64 = 1_300;
+/// Time that a balancer has to answer, in milliseconds: it is told each 80 ms. One that has not
+/// answered by then is gone, cut off, or slow and has the datagrams in its queue. After a loss of power
+/// openings wait this long for each balancer that does not come back.
+const ANSWER_MS: u64 = 250;
 
 /// Time that the balancer that probes first has to tell all others, in milliseconds, where the store
-/// does not name them: two of the states that balancers send each 600 ms.
-const SPREAD_MS: u64 = 1_300;
+/// does not name them: it does so at once, and with the states that balancers send each 600 ms.
+const SPREAD_MS: u64 = 700;
 
 /// Which balancers know of this agent.
 #[derive(Debug, Default)]
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -305,6 +305,12 @@
         table.learn(address(3, 7720), address(3, 8166), "a", 1_300);
         hear(&mut table, 3, "a", 1_400);
         assert!(table.is_settled(1_400));
+        // A balancer that stood still hears the others again before it takes itself for informed.
+        table.note_stall(9_000);
+        assert!(!table.is_settled(9_000));
+        hear(&mut table, 2, "a", 9_001);
+        hear(&mut table, 3, "a", 9_001);
+        assert!(table.is_settled(9_001));
     };
     a_flow_that_one_zone_has_not_given_back_is_not_reset: {
         let mut balancer = balancer();
