--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -96,6 +96,8 @@
     Leaving,
     /// The availability zone is out.
     ZoneOut,
+    /// The target is cold and how much it bears is not known yet.
+    LimitsUnknown,
     /// The target is cold and has had as much as it bears.
     Cold,
     /// The target holds as many flows as it can.
@@ -106,12 +108,13 @@
 
 impl Refused {
     /// All reasons, for metrics and docs.
-    pub const ALL: [Refused; 8] = [
+    pub const ALL: [Refused; 9] = [
         Refused::NotIntroduced,
         Refused::TargetSilent,
         Refused::OtherService,
         Refused::Leaving,
         Refused::ZoneOut,
+        Refused::LimitsUnknown,
         Refused::Cold,
         Refused::Flows,
         Refused::Busy,
@@ -125,6 +128,7 @@
             Refused::OtherService => "other-service",
             Refused::Leaving => "leaving",
             Refused::ZoneOut => "zone-out",
+            Refused::LimitsUnknown => "limits-unknown",
             Refused::Cold => "cold",
             Refused::Flows => "flows",
             Refused::Busy => "busy",
@@ -149,7 +153,8 @@
     silence_ms: u64,
     distrust_before_ms: u64,
     is_zone_out: bool,
-    limits: GateLimits,
+    /// Service that the limits are about, and the limits.
+    limits: Option<(String, GateLimits)>,
     cold_openings_ms: VecDeque<u64>,
 }
 
@@ -171,7 +176,7 @@
             silence_ms,
             distrust_before_ms: 0,
             is_zone_out: false,
-            limits: GateLimits { cold_openings_per_s: None, max_flows: u32::MAX },
+            limits: None,
             cold_openings_ms: VecDeque::new(),
         }
     }
@@ -253,9 +258,9 @@
         self.is_zone_out = is_out;
     }
 
-    /// Takes over the limits of the configuration.
-    pub fn set_limits(&mut self, limits: GateLimits) {
-        self.limits = limits;
+    /// Takes over the limits that the configuration sets for a service.
+    pub fn set_limits(&mut self, service: &str, limits: GateLimits) {
+        self.limits = Some((service.to_owned(), limits));
     }
 
     /// The life of the target that is known.
@@ -321,7 +326,9 @@
         if self.is_zone_out {
             return Err(Refused::ZoneOut);
         }
-        if !is_copy && load.flows >= self.limits.max_flows {
+        let limits = self.limits.as_ref().filter(|(name, _)| name == service);
+        let limits = limits.map(|(_, limits)| *limits);
+        if !is_copy && limits.is_some_and(|limits| load.flows >= limits.max_flows) {
             return Err(Refused::Flows);
         }
         let slots = u64::from(life.report.slots.max(1));
@@ -329,11 +336,11 @@
         if !is_copy && is_full && may_pass {
             return Err(Refused::Busy);
         }
-        if life.cold_until_ms > now_ms { self.admit_cold(now_ms) } else { Ok(()) }
+        if life.cold_until_ms > now_ms { self.admit_cold(limits, now_ms) } else { Ok(()) }
     }
 
-    fn admit_cold(&mut self, now_ms: u64) -> Result<(), Refused> {
-        let Some(limit) = self.limits.cold_openings_per_s else {
+    fn admit_cold(&mut self, limits: Option<GateLimits>, now_ms: u64) -> Result<(), Refused> {
+        let Some(limit) = limits.ok_or(Refused::LimitsUnknown)?.cold_openings_per_s else {
             return Ok(());
         };
         while let Some(oldest_ms) = self.cold_openings_ms.front()
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -19,10 +18,6 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 
-use crate::connection::flow_key::FlowKey;
-use crate::connection::segment::Segment;
-use crate::connection::segment::Sender;
-use crate::connection::target_gate::Refused;
 use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetPhase;
 use crate::connection::target_gate::TargetReport;
@@ -33,32 +28,26 @@
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
 use crate::process::events::Event;
-use crate::process::metrics::count;
-use crate::process::passthrough::BALANCERS_PREFIX;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
 use crate::process::passthrough::TARGETS_PREFIX;
 use crate::process::passthrough::TargetAnnouncements;
+use crate::process::passthrough::agent_forwarding;
+use crate::process::passthrough::agent_introduction;
 use crate::process::passthrough::agent_state::AgentState;
-use crate::process::passthrough::agent_state::Step;
 use crate::process::passthrough::balancer::bind;
 use crate::process::passthrough::balancer::send;
 use crate::process::passthrough::message::NodeMessage;
-use crate::process::passthrough::message::Returned;
 use crate::process::passthrough::metrics;
 use crate::process::passthrough::metrics::MetricsSource;
 use crate::process::passthrough::metrics::PassthroughMetrics;
-use crate::process::passthrough::registration;
-use crate::process::passthrough::registration::NodeEntry;
 use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughAgentSettings;
-use crate::process::passthrough::way;
 use crate::process::signals;
-use crate::process::store::StoreError;
 use crate::version::target_table::TargetStatus;
 
 /// Largest datagram that is read, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 4096;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 4096;
 
 /// Time between two looks at the clock; a jump of [`STALL_MS`] between them is a stall.
 const TICK: Duration = Duration::from_millis(250);
@@ -73,40 +62,30 @@
 /// Time between the two farewells of an agent that stops.
 const FAREWELL_PAUSE: Duration = Duration::from_millis(20);
 
-/// Milliseconds in a second.
-const MS_PER_S: f64 = 1_000.0;
-
 /// Time between two rounds of telling, in milliseconds, in the first seconds of an agent.
 const INTRODUCTION_MS: u64 = 500;
 
 /// How long an agent counts as new, in milliseconds.
 const NEW_MS: u64 = 3_000;
 
-/// Time between two rounds of telling balancers that may not know of this agent: a third of the time
-/// that they have.
-const INTRODUCTION_PAUSE: Duration = Duration::from_millis(80);
-
-/// First and longest wait after a failed read of the balancers, in milliseconds.
-const BALANCERS_RETRY_MS: (u64, u64) = (100, 1_000);
-
 /// How long a balancer that does not probe is still told of changes, in milliseconds.
 const BALANCER_SILENCE_MS: u64 = 5_000;
 
-struct Shared {
-    settings: PassthroughAgentSettings,
-    seeds: Seeds,
-    platform: Platform,
+pub(super) struct Shared {
+    pub(super) settings: PassthroughAgentSettings,
+    pub(super) seeds: Seeds,
+    pub(super) platform: Platform,
     clock: BootClock,
     lifetime: u64,
     sequence: AtomicU64,
     state: Mutex<AgentState>,
     balancers: Mutex<IndexMap<SocketAddrV4, u64>>,
     is_stopping: AtomicBool,
-    changed: Notify,
-    metrics: PassthroughMetrics,
-    data: UdpSocket,
-    control: UdpSocket,
-    from_target: UdpSocket,
+    pub(super) changed: Notify,
+    pub(super) metrics: PassthroughMetrics,
+    pub(super) data: UdpSocket,
+    pub(super) control: UdpSocket,
+    pub(super) from_target: UdpSocket,
 }
 
 /// Runs an agent until it is told to stop.
@@ -151,12 +130,12 @@
         let source: Arc<dyn MetricsSource> = shared.clone();
         admin::start_bare(address, |server| metrics::mount(server, source)).await?;
     }
-    tokio::spawn(read_nodes(Arc::clone(&shared)));
-    tokio::spawn(read_target(Arc::clone(&shared)));
+    tokio::spawn(agent_forwarding::read_nodes(Arc::clone(&shared)));
+    tokio::spawn(agent_forwarding::read_target(Arc::clone(&shared)));
     tokio::spawn(read_control(Arc::clone(&shared)));
     tokio::spawn(tell_changes(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
-    tokio::spawn(register(Arc::clone(&shared)));
+    tokio::spawn(agent_introduction::register(Arc::clone(&shared)));
     let reloading = Arc::clone(&shared);
     tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
     signals::wait_for_stop().await.map_err(|source| Error::Runtime { source })?;
@@ -182,19 +161,19 @@
 }
 
 impl Shared {
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.clock.now_ms()
     }
 
-    fn state(&self) -> MutexGuard<'_, AgentState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, AgentState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn balancers(&self) -> MutexGuard<'_, IndexMap<SocketAddrV4, u64>> {
+    pub(super) fn balancers(&self) -> MutexGuard<'_, IndexMap<SocketAddrV4, u64>> {
         self.balancers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn entry_key(&self) -> String {
+    pub(super) fn entry_key(&self) -> String {
         format!("{TARGETS_PREFIX}{}", self.settings.node.data_address)
     }
 
@@ -223,102 +202,12 @@
         self.tell(&balancers).await;
     }
 
-    async fn tell(&self, balancers: &[SocketAddrV4]) {
+    pub(super) async fn tell(&self, balancers: &[SocketAddrV4]) {
         let message = self.status().encode();
         for balancer in balancers {
             send(&self.control, &message, *balancer).await;
         }
     }
-
-    /// Control addresses of the balancers that the store names.
-    async fn registered_balancers(&self) -> Result<IndexSet<SocketAddrV4>, StoreError> {
-        let values = self.platform.store.range(BALANCERS_PREFIX).await?.values;
-        let mut balancers = IndexSet::new();
-        for value in values {
-            match NodeEntry::decode(&value.value) {
-                Some(entry) => {
-                    balancers.insert(entry.control);
-                }
-                None => log_event!(Event::StoreValueInvalid, "key={}", value.key),
-            }
-        }
-        Ok(balancers)
-    }
-
-    async fn tell_found(&self, flow: FlowKey, balancer: SocketAddrV4) {
-        let is_confirmed = self.state().flows.is_confirmed(&flow);
-        let holder = self.settings.node.data_address;
-        let found = NodeMessage::Found { flow, holder, is_confirmed };
-        send(&self.control, &found.encode(), balancer).await;
-    }
-
-    async fn give_to_caller(&self, datagram: &[u8], flow: &FlowKey) {
-        let port = self.settings.node.data_address.port();
-        send(&self.data, datagram, SocketAddrV4::new(*flow.caller.ip(), port)).await;
-    }
-
-    fn note_refused(&self, refused: Refused, flow: &FlowKey, next: Option<SocketAddrV4>) {
-        let reason = refused.as_str();
-        count(&self.metrics.refused_openings, reason);
-        let next = next.map_or_else(|| "none".to_owned(), |next| next.to_string());
-        let details = format!("caller={} route={} next={next}", flow.caller, flow.service);
-        log_event!(Event::OpeningRefused, "reason={reason} {details}");
-    }
-
-    /// Carries out a decision. `out` is room for a datagram to another agent.
-    async fn carry_out(
-        &self,
-        step: Step,
-        segment: &Segment,
-        datagram: &mut [u8],
-        out: &mut Vec<u8>,
-    ) {
-        let flow = segment.flow;
-        match step {
-            Step::GiveToTarget { slot, tell, hops } => {
-                count(&self.metrics.segments, "to-target");
-                self.metrics.hops.observe(f64::from(hops));
-                self.platform.segments.prepare(datagram, slot);
-                send(&self.from_target, datagram, self.settings.target_address).await;
-                if let Some(balancer) = tell {
-                    self.tell_found(flow, balancer).await;
-                }
-            }
-            Step::GiveToCaller { tell, waited_ms } => {
-                count(&self.metrics.segments, "to-caller");
-                if let Some(waited_ms) = waited_ms {
-                    self.metrics.answers_s.observe(waited_ms as f64 / MS_PER_S);
-                }
-                self.give_to_caller(datagram, &flow).await;
-                if let Some(balancer) = tell {
-                    self.tell_found(flow, balancer).await;
-                }
-            }
-            Step::PassOn(next, way, refused) => {
-                count(&self.metrics.segments, "passed-on");
-                if let Some(refused) = refused {
-                    self.note_refused(refused, &flow, Some(next));
-                }
-                self.platform.segments.prepare(datagram, 0);
-                way::encode(&way, datagram, out);
-                send(&self.data, out, next).await;
-            }
-            Step::GiveBack { balancer, search, refused } => {
-                if let Some(refused) = refused {
-                    self.note_refused(refused, &flow, None);
-                }
-                count(&self.metrics.segments, "given-back");
-                self.platform.segments.prepare(datagram, 0);
-                let returned = NodeMessage::Returned(Returned {
-                    agent: self.settings.node.data_address,
-                    search,
-                    segment: datagram.to_vec(),
-                });
-                send(&self.control, &returned.encode(), balancer).await;
-            }
-            Step::Drop => count(&self.metrics.dropped, "ended"),
-        }
-    }
 }
 
 impl MetricsSource for Shared {
@@ -384,55 +273,6 @@
     }
 }
 
-async fn read_nodes(shared: Arc<Shared>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-    loop {
-        let length = match shared.data.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_event!(Event::ForwardFailed, "{error}");
-                continue;
-            }
-        };
-        let (way, start) = match way::decode(&buffer[..length]) {
-            Ok(decoded) => decoded,
-            Err(fault) => {
-                log_event!(Event::SegmentDropped, "reason={} bytes={length}", fault.as_str());
-                continue;
-            }
-        };
-        let datagram = &mut buffer[start..length];
-        let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
-            log_event!(Event::SegmentDropped, "reason=malformed bytes={length}");
-            continue;
-        };
-        let step = shared.state().from_node(&segment, way, shared.now_ms());
-        shared.carry_out(step, &segment, datagram, &mut out).await;
-    }
-}
-
-async fn read_target(shared: Arc<Shared>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-    loop {
-        let length = match shared.from_target.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_event!(Event::ForwardFailed, "{error}");
-                continue;
-            }
-        };
-        let datagram = &mut buffer[..length];
-        let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Target) else {
-            log_event!(Event::SegmentDropped, "reason=malformed bytes={length}");
-            continue;
-        };
-        let step = shared.state().from_target(&segment, shared.now_ms());
-        shared.carry_out(step, &segment, datagram, &mut out).await;
-    }
-}
-
 async fn read_control(shared: Arc<Shared>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -469,47 +309,6 @@
     }
 }
 
-async fn register(shared: Arc<Shared>) {
-    let node = &shared.settings.node;
-    let entry = NodeEntry {
-        data: node.data_address,
-        control: node.control_address,
-        zone: node.availability_zone.clone(),
-    };
-    let (store, key) = (&shared.platform.store, shared.entry_key());
-    registration::register(store, &key, &entry, &shared.metrics).await;
-    let (mut wait_ms, longest_ms) = BALANCERS_RETRY_MS;
-    loop {
-        match shared.registered_balancers().await {
-            Ok(balancers) => {
-                let now_ms = shared.now_ms();
-                shared.state().introduction.note_named(balancers, now_ms);
-                break;
-            }
-            Err(error) => shared.metrics.note_store_failure("balancers", &error),
-        }
-        sleep(Duration::from_millis(wait_ms)).await;
-        wait_ms = longest_ms.min(wait_ms * 2);
-    }
-    introduce(&shared).await;
-}
-
-/// Tells the balancers that may not know of this agent yet until it may take openings.
-async fn introduce(shared: &Shared) {
-    loop {
-        let now_ms = shared.now_ms();
-        let unanswered = {
-            let mut state = shared.state();
-            (!state.introduction.is_done(now_ms)).then(|| state.introduction.unanswered())
-        };
-        let Some(unanswered) = unanswered else {
-            return shared.changed.notify_one();
-        };
-        shared.tell(&unanswered).await;
-        sleep(INTRODUCTION_PAUSE).await;
-    }
-}
-
 async fn tick(shared: Arc<Shared>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -545,26 +344,10 @@
         if is_unprobed && now_ms.saturating_sub(seeds_told_ms) >= pause_ms {
             let is_first = seeds_told_ms == 0;
             seeds_told_ms = now_ms;
-            tell_seeds(&shared).await;
+            agent_introduction::tell_seeds(&shared).await;
             if !is_first {
-                tokio::spawn(tell_registered(Arc::clone(&shared)));
+                tokio::spawn(agent_introduction::tell_registered(Arc::clone(&shared)));
             }
         }
     }
 }
-
-/// Tells the balancers that the store names that this agent exists.
-async fn tell_registered(shared: Arc<Shared>) {
-    match shared.registered_balancers().await {
-        Ok(balancers) => shared.tell(&Vec::from_iter(balancers)).await,
-        Err(error) => shared.metrics.note_store_failure("balancers", &error),
-    }
-}
-
-/// Tells the seeds that this agent exists: the store may turn it away, or them.
-async fn tell_seeds(shared: &Shared) {
-    let port = shared.settings.node.control_address.port();
-    let seeds = shared.seeds.current().into_iter();
-    let seeds: Vec<SocketAddrV4> = seeds.map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect();
-    shared.tell(&seeds).await;
-}
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -120,7 +120,7 @@
         self.configuration_revision = probe.revision;
         self.gate.set_zone_out(probe.is_zone_out, now_ms);
         if !probe.service.is_empty() {
-            self.gate.set_limits(probe.limits);
+            self.gate.set_limits(&probe.service, probe.limits);
             self.idle_timeout_ms = probe.idle_timeout_ms;
         }
         true
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -11,16 +11,12 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
-use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
 
-use crate::connection::segment::Segment;
-use crate::connection::segment::Sender;
 use crate::connection::target_gate::GateLimits;
 use crate::connection::target_gate::TargetPhase;
 use crate::error::Error;
@@ -30,43 +26,29 @@
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
 use crate::process::events::Event;
-use crate::process::metrics::count;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
+use crate::process::passthrough::balancer_forwarding;
 use crate::process::passthrough::balancer_state::BalancerState;
-use crate::process::passthrough::balancer_state::DropReason;
-use crate::process::passthrough::balancer_state::Forwarding;
-use crate::process::passthrough::balancer_state::ResetReason;
 use crate::process::passthrough::balancer_store;
 use crate::process::passthrough::exchange;
 use crate::process::passthrough::exchange::SnapshotSource;
 use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Probe;
-use crate::process::passthrough::message::Returned;
 use crate::process::passthrough::metrics;
 use crate::process::passthrough::metrics::MetricsSource;
 use crate::process::passthrough::metrics::PassthroughMetrics;
 use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughBalancerSettings;
-use crate::process::passthrough::way;
 use crate::process::signals;
-use crate::process::store::StoreChange;
-use crate::process::store::StoreValue;
 use crate::version::balancer_table::BalancerNews;
 use crate::version::balancer_table::BalancerTable;
-use crate::version::routing::Applied;
-use crate::version::routing::OperatorItem;
 use crate::version::target_table::KnownAgent;
 use crate::version::target_table::TargetStatus;
-use crate::wire::ConfigurationItem;
-use crate::wire::ConfigurationSnapshot;
 
 /// Largest datagram that is read, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 4096;
-
-/// Agents that one log line lists at most.
-const MAX_LISTED: usize = 8;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 4096;
 
 /// Time between two probes of an agent, in milliseconds: a quarter of the silence that counts.
 const PROBE_INTERVAL_MS: u64 = 300;
@@ -100,7 +82,6 @@
     pub(super) seeds: Seeds,
     pub(super) platform: Platform,
     pub(super) clock: BootClock,
-    pub(super) lifetime: u64,
     pub(super) state: Mutex<BalancerState>,
     pub(super) items: Mutex<IndexMap<String, (Vec<u8>, u64)>>,
     pub(super) peers: Mutex<BalancerTable>,
@@ -127,7 +108,6 @@
     let state = BalancerState::new(zone, settings.node.control_address);
     let peers = BalancerTable::new(settings.node.control_address, zone);
     let shared = Arc::new(Shared {
-        lifetime: rand::rng().random(),
         clock: BootClock::new(),
         state: Mutex::new(state),
         items: Mutex::default(),
@@ -156,7 +136,7 @@
         let source: Arc<dyn MetricsSource> = shared.clone();
         admin::start_bare(address, |server| metrics::mount(server, source)).await?;
     }
-    tokio::spawn(forward_segments(Arc::clone(&shared)));
+    tokio::spawn(balancer_forwarding::forward_segments(Arc::clone(&shared)));
     tokio::spawn(read_control(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
@@ -197,91 +177,10 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn items(&self) -> MutexGuard<'_, IndexMap<String, (Vec<u8>, u64)>> {
-        self.items.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn send_control(&self, message: &NodeMessage, to: SocketAddrV4) {
         send(&self.control, &message.encode(), to).await;
     }
 
-    /// Takes everything that operators have stored, as of `revision`.
-    pub(super) fn take_items(&self, items: Vec<(String, Vec<u8>, u64)>, revision: u64) {
-        let decoder = &self.platform.operator_items;
-        let mut zones_out = IndexSet::new();
-        let mut held = IndexMap::new();
-        for (key, value, item_revision) in items {
-            match decoder.decode(&key, &value) {
-                Ok(OperatorItem::ZoneOut(zone)) => {
-                    zones_out.insert(zone);
-                }
-                Ok(OperatorItem::Configuration(configuration)) => {
-                    self.apply_configuration(configuration, item_revision);
-                }
-                Err(message) => log_event!(Event::StoreValueInvalid, "key={key} {message}"),
-            }
-            held.insert(key, (value, item_revision));
-        }
-        let newest = held.values().map(|(_, revision)| *revision).max().unwrap_or(0);
-        let applied = self.state().routing.apply_zones_out(zones_out, newest, revision);
-        if applied == Applied::Newer {
-            self.note_zones();
-        }
-        *self.items() = held;
-    }
-
-    fn apply_configuration(
-        &self,
-        configuration: crate::version::routing::Configuration,
-        revision: u64,
-    ) {
-        let (version, routes) = (configuration.version, configuration.routes.len());
-        let applied = self.state().routing.apply_configuration(configuration, revision);
-        if applied == Applied::Newer {
-            let details = format!("revision={revision} version={version} routes={routes}");
-            log_event!(Event::ConfigurationChanged, "{details}");
-        }
-    }
-
-    fn note_zones(&self) {
-        let state = self.state();
-        let zones: Vec<&str> = state.routing.zones_out().collect();
-        log_event!(Event::ZoneChanged, "out={zones:?} revision={}", state.routing.revision());
-    }
-
-    pub(super) fn take_change(&self, change: &StoreChange) {
-        match change {
-            StoreChange::Written(value) => self.take_written(value),
-            StoreChange::Removed { key, revision } => {
-                self.items().shift_remove(key);
-                if let Some(zone) = self.platform.operator_items.zone_of(key) {
-                    let applied = self.state().routing.apply_zone(zone, false, *revision);
-                    if applied == Applied::Newer {
-                        self.note_zones();
-                    }
-                }
-            }
-        }
-    }
-
-    fn take_written(&self, value: &StoreValue) {
-        match self.platform.operator_items.decode(&value.key, &value.value) {
-            Ok(OperatorItem::Configuration(configuration)) => {
-                self.apply_configuration(configuration, value.revision);
-            }
-            Ok(OperatorItem::ZoneOut(zone)) => {
-                let applied = self.state().routing.apply_zone(&zone, true, value.revision);
-                if applied == Applied::Newer {
-                    self.note_zones();
-                }
-            }
-            Err(message) => {
-                log_event!(Event::StoreValueInvalid, "key={} {message}", value.key);
-            }
-        }
-        self.items().insert(value.key.clone(), (value.value.clone(), value.revision));
-    }
-
     fn probe_for(&self, state: &BalancerState, agent: KnownAgent<'_>) -> Probe {
         let service = state.targets.status(agent.data).map_or("", |status| status.service.as_str());
         let configuration = state.routing.configuration();
@@ -290,7 +189,7 @@
             balancer: self.settings.node.control_address,
             revision: state.routing.revision(),
             is_zone_out: state.routing.is_zone_out(agent.zone),
-            service: limits.map_or_else(String::new, |_| service.to_owned()),
+            service: service.to_owned(),
             limits: GateLimits {
                 cold_openings_per_s: limits.and_then(|limits| limits.cold_openings_per_s),
                 max_flows: limits.map_or(u32::MAX, |limits| limits.max_flows),
@@ -354,7 +253,6 @@
         let message = NodeMessage::Balancer(message::BalancerState {
             control: self.settings.node.control_address,
             exchange: self.settings.exchange_address,
-            lifetime: self.lifetime,
             zone: self.settings.node.availability_zone.clone(),
             newest_change: self.state().routing.newest_change(),
             balancers: self.peers().news(now_ms).collect(),
@@ -394,10 +292,12 @@
 
     async fn take_status_of_agent(&self, status: TargetStatus) {
         let (data, phase) = (status.data, status.phase);
-        if self.take_status(status.clone(), 0) {
+        let is_changed = self.take_status(status.clone(), 0);
+        if is_changed {
             self.spread(status).await;
         }
-        if phase == TargetPhase::Introducing {
+        // The agent waits for an answer, or for the limits of the service that it has just named.
+        if is_changed || phase == TargetPhase::Introducing {
             self.probe(data).await;
         }
     }
@@ -445,107 +345,6 @@
     }
 }
 
-impl SnapshotSource for Shared {
-    fn snapshot(&self) -> ConfigurationSnapshot {
-        let revision = self.state().routing.revision();
-        let item = |(key, (value, revision)): (&String, &(Vec<u8>, u64))| ConfigurationItem {
-            key: key.clone(),
-            value: value.clone(),
-            revision: *revision,
-        };
-        ConfigurationSnapshot { revision, items: self.items().iter().map(item).collect() }
-    }
-}
-
-async fn forward_segments(shared: Arc<Shared>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-    loop {
-        match shared.data.recv_from(&mut buffer).await {
-            Ok((length, _)) => {
-                forward_segment(&shared, &buffer[..length], &mut out).await;
-            }
-            // An earlier send was refused by its receiver.
-            Err(error) => log_event!(Event::ForwardFailed, "{error}"),
-        }
-    }
-}
-
-async fn forward_segment(shared: &Shared, datagram: &[u8], out: &mut Vec<u8>) {
-    let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
-        log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
-        return;
-    };
-    let forwarding = shared.state().forward(&segment, shared.now_ms());
-    carry_out(shared, forwarding, &segment, datagram, out).await;
-}
-
-/// Goes on with a segment that an agent gave back.
-async fn take_back(shared: &Shared, returned: Returned, out: &mut Vec<u8>) {
-    let datagram = &returned.segment;
-    let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
-        log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
-        return;
-    };
-    let (agent, search) = (returned.agent, returned.search);
-    let forwarding = shared.state().take_back(&segment, agent, search, shared.now_ms());
-    carry_out(shared, forwarding, &segment, datagram, out).await;
-}
-
-async fn carry_out(
-    shared: &Shared,
-    forwarding: Forwarding,
-    segment: &Segment,
-    datagram: &[u8],
-    out: &mut Vec<u8>,
-) {
-    match forwarding {
-        Forwarding::Send(ways) => {
-            count(&shared.metrics.segments, "forwarded");
-            if ways.iter().any(|(_, way)| way.search != 0) {
-                shared.metrics.searches.inc();
-            }
-            for (agent, way) in ways {
-                way::encode(&way, datagram, out);
-                send(&shared.data, out, agent).await;
-            }
-        }
-        Forwarding::Reset(reason) => reset(shared, segment, reason).await,
-        Forwarding::Drop(DropReason::Searching) => {
-            count(&shared.metrics.dropped, DropReason::Searching.as_str());
-        }
-        Forwarding::Drop(reason) => {
-            count(&shared.metrics.dropped, reason.as_str());
-            let flow = segment.flow;
-            let mut unanswering = shared.state().targets.unanswering(shared.now_ms());
-            unanswering.truncate(MAX_LISTED);
-            log_event!(
-                Event::SegmentDropped,
-                "reason={} caller={} route={} unanswering={unanswering:?}",
-                reason.as_str(),
-                flow.caller,
-                flow.service
-            );
-        }
-    }
-}
-
-async fn reset(shared: &Shared, segment: &Segment, reason: ResetReason) {
-    count(&shared.metrics.resets, reason.as_str());
-    let flow = segment.flow;
-    log_event!(
-        Event::FlowReset,
-        "reason={} caller={} route={} opening={}",
-        reason.as_str(),
-        flow.caller,
-        flow.service,
-        segment.opens
-    );
-    let datagram = shared.platform.segments.reset(&flow, segment.acknowledged);
-    let port = shared.settings.node.data_address.port();
-    send(&shared.data, &datagram, SocketAddrV4::new(*flow.caller.ip(), port)).await;
-}
-
 /// Sends a datagram. A lost one is sent again by the flow's ends or by the next round.
 pub(crate) async fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddrV4) {
     if let Err(error) = socket.send_to(datagram, SocketAddr::V4(to)).await {
@@ -573,7 +372,7 @@
                 shared.state().found.found(flow, holder, is_confirmed, now_ms);
             }
             Some(NodeMessage::Returned(returned)) => {
-                take_back(&shared, returned, &mut out).await;
+                balancer_forwarding::take_back(&shared, returned, &mut out).await;
             }
             Some(NodeMessage::Balancer(message)) => shared.take_balancer(message),
             Some(NodeMessage::Probe(_)) | None => {
--- /dev/null
+++ b/src/process/passthrough/balancer_configuration.rs
@@ -0,0 +1,110 @@
+//! What operators have stored, as a balancer takes it over and gives it to others.
+
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::passthrough::balancer::Shared;
+use crate::process::passthrough::exchange::SnapshotSource;
+use crate::process::store::StoreChange;
+use crate::process::store::StoreValue;
+use crate::version::routing::Applied;
+use crate::version::routing::Configuration;
+use crate::version::routing::OperatorItem;
+use crate::wire::ConfigurationItem;
+use crate::wire::ConfigurationSnapshot;
+
+impl Shared {
+    fn items(&self) -> MutexGuard<'_, IndexMap<String, (Vec<u8>, u64)>> {
+        self.items.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes everything that operators have stored, as of `revision`.
+    pub(super) fn take_items(&self, items: Vec<(String, Vec<u8>, u64)>, revision: u64) {
+        let decoder = &self.platform.operator_items;
+        let mut zones_out = IndexSet::new();
+        let mut held = IndexMap::new();
+        for (key, value, item_revision) in items {
+            match decoder.decode(&key, &value) {
+                Ok(OperatorItem::ZoneOut(zone)) => {
+                    zones_out.insert(zone);
+                }
+                Ok(OperatorItem::Configuration(configuration)) => {
+                    self.apply_configuration(configuration, item_revision);
+                }
+                Err(message) => log_event!(Event::StoreValueInvalid, "key={key} {message}"),
+            }
+            held.insert(key, (value, item_revision));
+        }
+        let newest = held.values().map(|(_, revision)| *revision).max().unwrap_or(0);
+        let applied = self.state().routing.apply_zones_out(zones_out, newest, revision);
+        if applied == Applied::Newer {
+            self.note_zones();
+        }
+        *self.items() = held;
+    }
+
+    fn apply_configuration(&self, configuration: Configuration, revision: u64) {
+        let (version, routes) = (configuration.version, configuration.routes.len());
+        let applied = self.state().routing.apply_configuration(configuration, revision);
+        if applied == Applied::Newer {
+            let details = format!("revision={revision} version={version} routes={routes}");
+            log_event!(Event::ConfigurationChanged, "{details}");
+        }
+    }
+
+    fn note_zones(&self) {
+        let state = self.state();
+        let zones: Vec<&str> = state.routing.zones_out().collect();
+        log_event!(Event::ZoneChanged, "out={zones:?} revision={}", state.routing.revision());
+    }
+
+    pub(super) fn take_change(&self, change: &StoreChange) {
+        match change {
+            StoreChange::Written(value) => self.take_written(value),
+            StoreChange::Removed { key, revision } => {
+                self.items().shift_remove(key);
+                if let Some(zone) = self.platform.operator_items.zone_of(key) {
+                    let applied = self.state().routing.apply_zone(zone, false, *revision);
+                    if applied == Applied::Newer {
+                        self.note_zones();
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_written(&self, value: &StoreValue) {
+        match self.platform.operator_items.decode(&value.key, &value.value) {
+            Ok(OperatorItem::Configuration(configuration)) => {
+                self.apply_configuration(configuration, value.revision);
+            }
+            Ok(OperatorItem::ZoneOut(zone)) => {
+                let applied = self.state().routing.apply_zone(&zone, true, value.revision);
+                if applied == Applied::Newer {
+                    self.note_zones();
+                }
+            }
+            Err(message) => {
+                log_event!(Event::StoreValueInvalid, "key={} {message}", value.key);
+            }
+        }
+        self.items().insert(value.key.clone(), (value.value.clone(), value.revision));
+    }
+}
+
+impl SnapshotSource for Shared {
+    fn snapshot(&self) -> ConfigurationSnapshot {
+        let revision = self.state().routing.revision();
+        let item = |(key, (value, revision)): (&String, &(Vec<u8>, u64))| ConfigurationItem {
+            key: key.clone(),
+            value: value.clone(),
+            revision: *revision,
+        };
+        ConfigurationSnapshot { revision, items: self.items().iter().map(item).collect() }
+    }
+}
--- /dev/null
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -0,0 +1,111 @@
+//! What a balancer does with segments, once it is decided.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use crate::connection::segment::Segment;
+use crate::connection::segment::Sender;
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::metrics::count;
+use crate::process::passthrough::balancer::MAX_DATAGRAM_BYTES;
+use crate::process::passthrough::balancer::Shared;
+use crate::process::passthrough::balancer::send;
+use crate::process::passthrough::balancer_state::DropReason;
+use crate::process::passthrough::balancer_state::Forwarding;
+use crate::process::passthrough::balancer_state::ResetReason;
+use crate::process::passthrough::message::Returned;
+use crate::process::passthrough::way;
+
+/// Agents that one log line lists at most.
+const MAX_LISTED: usize = 8;
+
+/// Forwards what callers send, for as long as the process runs.
+pub(super) async fn forward_segments(shared: Arc<Shared>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+    loop {
+        match shared.data.recv_from(&mut buffer).await {
+            Ok((length, _)) => {
+                forward_segment(&shared, &buffer[..length], &mut out).await;
+            }
+            // An earlier send was refused by its receiver.
+            Err(error) => log_event!(Event::ForwardFailed, "{error}"),
+        }
+    }
+}
+
+async fn forward_segment(shared: &Shared, datagram: &[u8], out: &mut Vec<u8>) {
+    let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
+        log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
+        return;
+    };
+    let forwarding = shared.state().forward(&segment, shared.now_ms());
+    carry_out(shared, forwarding, &segment, datagram, out).await;
+}
+
+/// Goes on with a segment that an agent gave back.
+pub(super) async fn take_back(shared: &Shared, returned: Returned, out: &mut Vec<u8>) {
+    let datagram = &returned.segment;
+    let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Caller) else {
+        log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
+        return;
+    };
+    let (agent, search) = (returned.agent, returned.search);
+    let forwarding = shared.state().take_back(&segment, agent, search, shared.now_ms());
+    carry_out(shared, forwarding, &segment, datagram, out).await;
+}
+
+async fn carry_out(
+    shared: &Shared,
+    forwarding: Forwarding,
+    segment: &Segment,
+    datagram: &[u8],
+    out: &mut Vec<u8>,
+) {
+    match forwarding {
+        Forwarding::Send(ways) => {
+            count(&shared.metrics.segments, "forwarded");
+            if ways.iter().any(|(_, way)| way.search != 0) {
+                shared.metrics.searches.inc();
+            }
+            for (agent, way) in ways {
+                way::encode(&way, datagram, out);
+                send(&shared.data, out, agent).await;
+            }
+        }
+        Forwarding::Reset(reason) => reset(shared, segment, reason).await,
+        Forwarding::Drop(DropReason::Searching) => {
+            count(&shared.metrics.dropped, DropReason::Searching.as_str());
+        }
+        Forwarding::Drop(reason) => {
+            count(&shared.metrics.dropped, reason.as_str());
+            let flow = segment.flow;
+            let mut unanswering = shared.state().targets.unanswering(shared.now_ms());
+            unanswering.truncate(MAX_LISTED);
+            log_event!(
+                Event::SegmentDropped,
+                "reason={} caller={} route={} unanswering={unanswering:?}",
+                reason.as_str(),
+                flow.caller,
+                flow.service
+            );
+        }
+    }
+}
+
+async fn reset(shared: &Shared, segment: &Segment, reason: ResetReason) {
+    count(&shared.metrics.resets, reason.as_str());
+    let flow = segment.flow;
+    log_event!(
+        Event::FlowReset,
+        "reason={} caller={} route={} opening={}",
+        reason.as_str(),
+        flow.caller,
+        flow.service,
+        segment.opens
+    );
+    let datagram = shared.platform.segments.reset(&flow, segment.acknowledged);
+    let port = shared.settings.node.data_address.port();
+    send(&shared.data, &datagram, SocketAddrV4::new(*flow.caller.ip(), port)).await;
+}
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -38,8 +38,6 @@
     pub control: SocketAddrV4,
     /// Address of its exchange of configuration.
     pub exchange: SocketAddrV4,
-    /// Random number of this run.
-    pub lifetime: u64,
     /// Availability zone.
     pub zone: String,
     /// Revision of the newest change that is in force there.
@@ -211,7 +209,6 @@
     wire::BalancerState {
         control: pack_address(state.control),
         exchange: pack_address(state.exchange),
-        lifetime: state.lifetime,
         newest_change: state.newest_change,
         zone: state.zone.clone(),
         balancers: state.balancers.iter().map(balancer).collect(),
@@ -235,7 +232,6 @@
     Some(BalancerState {
         control: unpack_address(state.control)?,
         exchange: unpack_address(state.exchange)?,
-        lifetime: state.lifetime,
         zone: state.zone,
         newest_change: state.newest_change,
         balancers: state.balancers.into_iter().map(balancer).collect::<Option<_>>()?,
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -6,8 +6,12 @@
 //! behind the traits of this module.
 
 pub mod agent;
+mod agent_forwarding;
+mod agent_introduction;
 pub mod agent_state;
 pub mod balancer;
+mod balancer_configuration;
+mod balancer_forwarding;
 pub mod balancer_state;
 pub mod balancer_store;
 pub mod exchange;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -392,8 +392,6 @@
     pub control: u64,
     #[prost(fixed64, tag = "2")]
     pub exchange: u64,
-    #[prost(fixed64, tag = "3")]
-    pub lifetime: u64,
     #[prost(uint64, tag = "4")]
     pub newest_change: u64,
     #[prost(string, tag = "5")]
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -187,9 +187,22 @@
         gate.report(report("a", 1, 2), 30);
         assert_eq!(admit(&mut gate, 31), Ok(()));
     };
+    a_cold_target_whose_limits_are_not_known_yet_gets_nothing: {
+        // After a loss of power a cold target took ten openings a second, as no probe had named its
+        // service yet.
+        let mut gate = gate();
+        gate.report(TargetReport { cold_remaining_ms: 60_000, ..report("a", 1, 2) }, 0);
+        assert_eq!(admit(&mut gate, 1), Err(Refused::LimitsUnknown));
+        let limits = GateLimits { cold_openings_per_s: Some(1), max_flows: 100 };
+        gate.set_limits("zpravy", limits);
+        assert_eq!(admit(&mut gate, 2), Err(Refused::LimitsUnknown));
+        gate.set_limits("vypocet", limits);
+        assert_eq!(admit(&mut gate, 3), Ok(()));
+        assert_eq!(admit(&mut gate, 4), Err(Refused::Cold));
+    };
     a_cold_target_never_gets_more_than_it_bears: {
         let mut gate = gate();
-        gate.set_limits(GateLimits { cold_openings_per_s: Some(5), max_flows: 100 });
+        gate.set_limits("vypocet", GateLimits { cold_openings_per_s: Some(5), max_flows: 100 });
         gate.report(TargetReport { cold_remaining_ms: 60_000, ..report("a", 1, 2) }, 0);
         let mut taken_ms = Vec::new();
         for now_ms in (0..1_700).step_by(7) {
@@ -207,6 +220,7 @@
     };
     no_limit_in_the_configuration_is_no_limit: {
         let mut gate = gate();
+        gate.set_limits("vypocet", GateLimits { cold_openings_per_s: None, max_flows: 100 });
         gate.report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 2) }, 0);
         assert!((0..500).all(|_| admit(&mut gate, 1).is_ok()));
     };
