A log whose reader stopped says afterwards how many lines it lost

Lines that a full pipe did not take were counted and told to nobody, and no test showed that a stopped reader costs lines and no time. The first line that the reader takes again now says how many were lost (event 109).

--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -60,6 +60,8 @@
     Reloaded = 107, Info, "settings read again";
     /// The settings could not be read again; those before hold.
     ReloadFailed = 108, Error, "settings not taken over";
+    /// The reader of the log did not keep up.
+    LinesLost = 109, Warn, "log lines lost, their reader did not keep up";
     /// A new version of the configuration is in force.
     ConfigurationChanged = 200, Info, "configuration in force";
     /// The store did not answer.
--- a/src/process/log_output.rs
+++ b/src/process/log_output.rs
@@ -20,25 +20,25 @@
     output: F,
     line: Vec<u8>,
     lost: u64,
+    told: u64,
+    lost_line: LostLine,
 }
 
+/// Makes the line that tells how many were lost.
+pub type LostLine = fn(lost: u64) -> String;
+
 impl LogOutput {
     /// Writes to standard output.
-    pub fn new() -> LogOutput {
-        LogOutput::with_output(io::stdout())
-    }
-}
-
-impl Default for LogOutput {
-    fn default() -> LogOutput {
-        LogOutput::new()
+    pub fn new(lost_line: LostLine) -> LogOutput {
+        LogOutput::with_output(io::stdout(), lost_line)
     }
 }
 
 impl<F: AsFd + Send> LogOutput<F> {
     /// Writes to another file.
-    pub fn with_output(output: F) -> LogOutput<F> {
-        LogOutput { output, line: Vec::with_capacity(MAX_LINE_BYTES), lost: 0 }
+    pub fn with_output(output: F, lost_line: LostLine) -> LogOutput<F> {
+        let line = Vec::with_capacity(MAX_LINE_BYTES);
+        LogOutput { output, line, lost: 0, told: 0, lost_line }
     }
 
     /// Lines that the reader did not take.
@@ -46,6 +46,21 @@
         self.lost
     }
 
+    /// Writes a whole line, or nothing. One write of at most `PIPE_BUF` bytes is taken whole or not at
+    /// all.
+    fn try_write(&self, line: &[u8]) -> bool {
+        self.is_writable() && nix::unistd::write(&self.output, line).is_ok()
+    }
+
+    /// Tells how many lines were lost since it was last told.
+    fn tell_lost(&mut self) {
+        let mut line = (self.lost_line)(self.lost - self.told);
+        line.push('\n');
+        if self.try_write(line.as_bytes()) {
+            self.told = self.lost;
+        }
+    }
+
     fn is_writable(&self) -> bool {
         let mut files = [PollFd::new(self.output.as_fd(), PollFlags::POLLOUT)];
         let ready = poll(&mut files, PollTimeout::ZERO);
@@ -67,14 +82,12 @@
         if self.line.last().is_some_and(|byte| *byte != b'\n') {
             self.line.push(b'\n');
         }
-        // One write of at most `PIPE_BUF` bytes is taken whole or not at all.
-        if self.line.is_empty()
-            || (self.is_writable() && nix::unistd::write(&self.output, &self.line).is_ok())
-        {
-            self.line.clear();
-            return Ok(());
+        if self.told < self.lost {
+            self.tell_lost();
+        }
+        if !self.line.is_empty() && !self.try_write(&self.line) {
+            self.lost += 1;
         }
-        self.lost += 1;
         self.line.clear();
         Ok(())
     }
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -16,8 +16,10 @@
 use serde_json::json;
 
 use crate::process::events::EVENT_KEY;
+use crate::process::events::Event;
 use crate::process::events::LEFT_OUT_KEY;
 use crate::process::log_output::LogOutput;
+use crate::process::log_output::LostLine;
 use crate::process::settings::LogFormat;
 use crate::process::settings::LogSettings;
 
@@ -39,11 +41,28 @@
             }
             LogFormat::Text => write_text(out, message, record, record.level().as_str()),
         })
-        .chain(Box::new(LogOutput::new()) as Box<dyn Write + Send>);
+        .chain(Box::new(LogOutput::new(lost_line(format))) as Box<dyn Write + Send>);
     // Another logger is already set in a program that embeds the daemons; that one stays.
     let _ = dispatch.apply();
 }
 
+fn lost_line(format: LogFormat) -> LostLine {
+    match format {
+        LogFormat::Json => |lost| {
+            let event = Event::LinesLost;
+            let message = format!("{} lines={lost}", event.text());
+            let level = event.level().as_str();
+            json!({"at_ms": now_ms(), "level": level, "event": event.number(), "message": message})
+                .to_string()
+        },
+        LogFormat::Text => |lost| {
+            let event = Event::LinesLost;
+            let (level, number) = (event.level(), event.number());
+            format!("{} {level} {number} {} lines={lost}", now_ms(), event.text())
+        },
+    }
+}
+
 fn write_text(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>, level: &str) {
     let event = event_number(record);
     out.finish(format_args!("{} {level} {event} {message}", now_ms()));
