Only an agent's keepers tell all balancers of its changes; a target that never reports holds nothing

Cause (bytes between zones, and late recovery): an agent that starts tells every balancer, and each of them told all others, with its list of balancers: 28 x 27 datagrams of some 1.3 kB for each change of each of 83 agents, all at once after a loss of power.

Change: keepers tell all, others tell the keepers, and the message holds the change alone.

Second: a search ended at an agent whose target had not come back, as an agent that never heard its target asked it for ever. It now counts as gone after the same 2.5 s.

--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -234,9 +234,9 @@
         if self.gate.phase(now_ms) == TargetPhase::Ended {
             return true;
         }
-        let silent_ms = self.gate.silent_ms(now_ms);
         let running_ms = now_ms.saturating_sub(self.running_since_ms);
-        silent_ms.is_some_and(|silent_ms| silent_ms > GONE_MS && running_ms > GONE_MS)
+        let silent_ms = self.gate.silent_ms(now_ms).unwrap_or(running_ms);
+        silent_ms > GONE_MS && running_ms > GONE_MS
     }
 
     fn remember(&mut self, flow: FlowKey, way: Way) -> u32 {
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -239,23 +239,29 @@
             let state = self.state();
             state.targets.news(now_ms).map(|(status, age_ms)| (status.clone(), age_ms)).collect()
         };
-        self.tell(&receivers, targets).await;
+        let balancers = self.peers().news(now_ms).collect();
+        self.tell(&receivers, balancers, targets).await;
     }
 
-    /// Tells everybody at once of an agent that has changed.
+    /// Tells the others at once of an agent that has changed.
     async fn spread(&self, status: TargetStatus) {
-        let receivers = self.peers().all_heard(self.now_ms());
-        self.tell(&receivers, vec![(status, 0)]).await;
+        let now_ms = self.now_ms();
+        let receivers = self.peers().change_receivers(status.data, &status.zone, now_ms);
+        self.tell(&receivers, Vec::new(), vec![(status, 0)]).await;
     }
 
-    async fn tell(&self, receivers: &[SocketAddrV4], targets: Vec<(TargetStatus, u64)>) {
-        let now_ms = self.now_ms();
+    async fn tell(
+        &self,
+        receivers: &[SocketAddrV4],
+        balancers: Vec<BalancerNews>,
+        targets: Vec<(TargetStatus, u64)>,
+    ) {
         let message = NodeMessage::Balancer(message::BalancerState {
             control: self.settings.node.control_address,
             exchange: self.settings.exchange_address,
             zone: self.settings.node.availability_zone.clone(),
             newest_change: self.state().routing.newest_change(),
-            balancers: self.peers().news(now_ms).collect(),
+            balancers,
             targets,
             is_stopping: self.is_stopping.load(Ordering::Relaxed),
         });
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -5,6 +5,7 @@
 //! of a node grow with its zone and not with the product of all balancers and agents. The size at which
 //! a zone outgrows this is in `docs/CAPACITY.md`.
 
+use std::cmp::Reverse;
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
@@ -118,11 +119,9 @@
 
     /// Whether this balancer probes an agent of its zone.
     pub fn keeps(&self, agent: SocketAddrV4, now_ms: u64) -> bool {
-        let id = hash64(agent.to_string().as_bytes());
-        let score = |balancer: &SocketAddrV4| hash64_with_seed(balancer.to_string().as_bytes(), id);
-        let own_score = score(&self.own);
+        let own_score = keeper_score(agent, &self.own);
         let in_zone = self.heard(now_ms).filter(|(_, peer)| peer.zone == self.zone);
-        in_zone.filter(|(control, _)| score(control) > own_score).count() < KEEPERS
+        in_zone.filter(|(control, _)| keeper_score(agent, control) > own_score).count() < KEEPERS
     }
 
     /// Balancers to tell of this one's state: all of its zone, those that nobody has heard yet, and one
@@ -146,9 +145,32 @@
         receivers
     }
 
-    /// All balancers that were heard lately.
-    pub fn all_heard(&self, now_ms: u64) -> Vec<SocketAddrV4> {
-        self.heard(now_ms).map(|(control, _)| *control).collect()
+    /// Balancers to tell at once that an agent has changed.
+    ///
+    /// The load that it answers: everything starting at once. An agent that starts tells all balancers;
+    /// if each told all others, the datagrams of one change would grow with their square. Its keepers
+    /// tell all, the others tell its keepers, and who has missed it hears by the next state.
+    pub fn change_receivers(
+        &self,
+        agent: SocketAddrV4,
+        agent_zone: &str,
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4> {
+        let all = self.heard(now_ms).map(|(control, _)| *control);
+        if agent_zone == self.zone && self.keeps(agent, now_ms) {
+            return all.collect();
+        }
+        let mut in_zone: Vec<SocketAddrV4> = self
+            .heard(now_ms)
+            .filter(|(_, peer)| peer.zone == agent_zone)
+            .map(|(control, _)| *control)
+            .collect();
+        if in_zone.is_empty() {
+            return all.collect();
+        }
+        in_zone.sort_by_key(|balancer| Reverse(keeper_score(agent, balancer)));
+        in_zone.truncate(KEEPERS);
+        in_zone
     }
 
     /// Exchange addresses of the balancers at which a newer change is in force.
@@ -194,6 +216,11 @@
     }
 }
 
+fn keeper_score(agent: SocketAddrV4, balancer: &SocketAddrV4) -> u64 {
+    let id = hash64(agent.to_string().as_bytes());
+    hash64_with_seed(balancer.to_string().as_bytes(), id)
+}
+
 fn is_over(peer: &Peer, now_ms: u64) -> bool {
     now_ms.saturating_sub(peer.heard_ms.unwrap_or(peer.known_since_ms)) > FORGET_MS
 }
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -296,6 +296,30 @@
             assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
         }
     };
+    a_change_of_an_agent_is_told_by_its_keepers: {
+        // 14 balancers of each of two zones are told of one change; each told all others: 756 datagrams.
+        let zone_of = |last: u8| if last <= 14 { "a" } else { "b" };
+        let mut told_by = [0; 29];
+        let mut datagrams = 0;
+        for own in 1..=28 {
+            let mut table = BalancerTable::new(address(own, 7720), zone_of(own));
+            (1..=28).filter(|last| *last != own).for_each(|last| {
+                hear(&mut table, last, zone_of(last), 0);
+            });
+            let receivers = table.change_receivers(agent(1), "a", 1);
+            datagrams += receivers.len();
+            for receiver in receivers {
+                told_by[usize::from(receiver.ip().octets()[3])] += 1;
+            }
+        }
+        assert!(datagrams <= 28 * 3 + 3 * 27, "{datagrams} datagrams");
+        assert!(told_by[1..].iter().all(|tellers| *tellers >= 2), "{told_by:?}");
+    };
+    without_a_balancer_in_its_zone_an_agent_is_told_of_by_all: {
+        let mut table = table(1);
+        hear(&mut table, 2, "a", 0);
+        assert_eq!(table.change_receivers(agent(1), "c", 1), [address(2, 7720)]);
+    };
     balancers_that_are_known_and_not_heard_are_waited_for: {
         let mut table = table(1);
         assert!(table.is_settled(0));
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -359,6 +359,15 @@
         agent.gate.report(report("a", 1, 1), 0);
         assert_eq!(agent.from_node(&segment(1), way(&[], 4), 1), given_back(4));
     };
+    a_target_that_never_reports_holds_no_flow: {
+        // After a loss of power each search for a lost flow ended at an agent whose target did not
+        // come back; callers waited until their deadline.
+        let mut agent = AgentState::new(SILENCE_MS, 0);
+        slot_of(&agent.from_node(&segment(1), way(&[], 4), 2_500));
+        assert_eq!(agent.from_node(&segment(1), way(&[], 4), 2_501), given_back(4));
+        agent.note_stall(9_000);
+        slot_of(&agent.from_node(&segment(1), way(&[], 4), 9_001));
+    };
     an_agent_that_started_later_than_its_target_asks_it: {
         let mut agent = agent();
         slot_of(&agent.from_node(&segment(1), way(&[], 4), 2));
