A search that is held up begins at the other end, and its agents are probed at once

Who vanishes was told from keeper to keeper only by its age, and counted for 3.2 s; all that time searches ended there, also those for flows at live targets behind it.

Change: where a search should have ended, the next one of that flow goes along each chain from its other end, and agents that were not heard for 0.6 s are probed by this balancer itself, so that one that is gone counts as silent 1.2 s later. An agent whose target is gone says that it has ended, and is not asked.

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -32,10 +32,15 @@
     searches: u32,
     first_search_ms: u64,
     search: u32,
+    search_ms: u64,
     outstanding: usize,
     offered_ms: u64,
 }
 
+/// Time after which a search counts as held up, in milliseconds: a chain takes a few milliseconds, and
+/// callers send again after 200 ms.
+const HELD_UP_MS: u64 = 150;
+
 /// What a search has come to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SearchState {
@@ -117,10 +122,25 @@
         }
         entry.searches += 1;
         entry.search = search;
+        entry.search_ms = now_ms;
         entry.outstanding = chains;
         Some(search)
     }
 
+    /// Whether the last search for a flow should have ended and has not: somebody on its way is gone.
+    pub fn is_held_up(&self, flow: &FlowKey, now_ms: u64) -> bool {
+        self.entries.get(flow).is_some_and(|entry| {
+            entry.outstanding > 0
+                && entry.holder.is_none()
+                && now_ms.saturating_sub(entry.search_ms) >= HELD_UP_MS
+        })
+    }
+
+    /// Number of searches for a flow lately.
+    pub fn searches(&self, flow: &FlowKey) -> u32 {
+        self.entries.get(flow).map_or(0, |entry| entry.searches)
+    }
+
     /// Notes that a flow's opening is offered, and returns the number of the offer.
     pub fn begin_opening(&mut self, flow: FlowKey, now_ms: u64) -> u32 {
         self.last_search = self.last_search.wrapping_add(1).max(1);
@@ -169,6 +189,7 @@
             searches: 0,
             first_search_ms: now_ms,
             search: 0,
+            search_ms: now_ms,
             outstanding: 0,
             offered_ms: 0,
         };
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -103,6 +103,9 @@
 
     /// The phase that balancers are told.
     pub fn phase(&mut self, now_ms: u64) -> TargetPhase {
+        if self.is_target_gone(now_ms) {
+            return TargetPhase::Ended;
+        }
         let phase = self.gate.phase(now_ms);
         let takes_flows = matches!(phase, TargetPhase::Serving | TargetPhase::Cold);
         match takes_flows && !self.introduction.is_done(now_ms) {
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -266,7 +266,14 @@
     }
 
     fn search_for(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
-        let search = self.search(&segment.flow, now_ms);
+        if self.found.is_held_up(&segment.flow, now_ms) {
+            self.targets.suspect_all(now_ms);
+        }
+        let mut search = self.search(&segment.flow, now_ms);
+        // A target behind one that is gone is found from the other end.
+        if self.found.searches(&segment.flow) % 2 == 1 {
+            search.chains.iter_mut().for_each(|chain| chain.reverse());
+        }
         let is_limited = search.has_awaited;
         let chains = search.chains.len();
         let number = self.found.begin_search(segment.flow, chains, is_limited, now_ms);
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -20,6 +20,10 @@
 /// three states are missing.
 const STALE_MS: u64 = 2_000;
 
+/// Age of what was heard of an agent, in milliseconds, up to which it is not suspected: two rounds of
+/// probes.
+const FRESH_MS: u64 = 600;
+
 /// How long an agent that stops is waited for, in milliseconds: the platform's grace of six seconds
 /// and two to start again.
 pub const HOLD_MS: u64 = 8_000;
@@ -95,6 +99,8 @@
     status: Option<TargetStatus>,
     past_lifetimes: Vec<u64>,
     awaited_until_ms: u64,
+    /// Since when this balancer probes it itself, as a search came to no end.
+    suspected_ms: Option<u64>,
     offered: u32,
 }
 
@@ -154,6 +160,7 @@
             status: None,
             past_lifetimes: Vec::new(),
             awaited_until_ms: 0,
+            suspected_ms: None,
             offered: 0,
         };
         self.targets.insert(data, entry);
@@ -186,6 +193,9 @@
             }
         }
         entry.heard_ms = entry.heard_ms.max(Some(heard_ms));
+        if entry.suspected_ms.is_some_and(|suspected_ms| suspected_ms <= heard_ms) {
+            entry.suspected_ms = None;
+        }
         if entry.probed_ms.is_some_and(|probed_ms| probed_ms <= heard_ms) {
             entry.probed_ms = None;
         }
@@ -204,6 +214,18 @@
         }
     }
 
+    /// A search has come to no end, so one of the agents is gone: those that were not heard since the
+    /// last round are probed, whoever keeps them.
+    pub fn suspect_all(&mut self, now_ms: u64) {
+        for entry in self.targets.values_mut() {
+            let is_fresh =
+                entry.heard_ms.is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) < FRESH_MS);
+            if !is_fresh {
+                entry.suspected_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
     /// Agents that this balancer probes now: those it keeps, and those of which it has heard nothing
     /// for a while. Their silence counts from here on. Between two rounds only those that may be
     /// starting are probed.
@@ -219,7 +241,8 @@
                 entry.heard_ms.is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > STALE_MS);
             let is_awaited = entry.heard_ms.is_none()
                 && now_ms.saturating_sub(entry.known_since_ms) < UNHEARD_MS;
-            if is_awaited || (is_round && (is_stale || keeps(*data, &entry.zone))) {
+            let is_suspected = entry.suspected_ms.is_some();
+            if is_awaited || (is_round && (is_stale || is_suspected || keeps(*data, &entry.zone))) {
                 entry.probed_ms.get_or_insert(now_ms);
                 due.push(*data);
             }
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -275,6 +275,36 @@
         assert_eq!(all, [11, 12, 13, 21, 22].map(agent));
         assert_eq!(ways.len(), 2);
     };
+    a_target_behind_one_that_is_gone_is_found_by_the_next_search: {
+        // One machine a second vanished without a word; each ended all searches at its place.
+        let mut balancer = balancer();
+        let first = ways(balancer.forward(&segment(ONCE, 1), 1));
+        let second = ways(balancer.forward(&segment(ONCE, 1), 201));
+        let reversed = |chain: &Vec<SocketAddrV4>| chain.iter().rev().copied().collect::<Vec<_>>();
+        assert_eq!(second, first.iter().map(reversed).collect::<Vec<_>>());
+    };
+    who_holds_up_a_search_is_known_to_be_silent_soon: {
+        // What a keeper has told is 0.7 s old when the agent vanishes; alone it would count for 3.2 s.
+        let mut balancer = balancer();
+        balancer.forward(&segment(ONCE, 1), 700);
+        let not_kept = |_: SocketAddrV4, _: &str| false;
+        assert!(balancer.targets.take_due_probes(true, not_kept, 750).is_empty());
+        balancer.forward(&segment(ONCE, 1), 900);
+        let probed = balancer.targets.take_due_probes(true, not_kept, 950);
+        assert_eq!(probed.len(), 5);
+        for last in [11, 12, 13, 21] {
+            let (zone, service) = match last {
+                13 => ("a", "zpravy"),
+                21 => ("b", "vypocet"),
+                _ => ("a", "vypocet"),
+            };
+            let answer = TargetStatus { sequence: 9, ..status(last, zone, service) };
+            balancer.targets.update(answer, 0, 952);
+        }
+        assert_eq!(balancer.targets.take_due_probes(true, not_kept, 1_250), [agent(22)]);
+        assert_eq!(balancer.targets.liveness(agent(22), 2_149), Some(Liveness::Alive));
+        assert_eq!(balancer.targets.liveness(agent(22), 2_150), Some(Liveness::Silent));
+    };
     a_route_that_moved_is_searched_in_its_past_service_first: {
         let mut balancer = balancer();
         balancer.routing.apply_configuration(configuration(2, "zpravy"), 11);
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -365,6 +365,7 @@
         let mut agent = AgentState::new(SILENCE_MS, 0);
         slot_of(&agent.from_node(&segment(1), way(&[], 4), 2_500));
         assert_eq!(agent.from_node(&segment(1), way(&[], 4), 2_501), given_back(4));
+        assert_eq!(agent.phase(2_501), TargetPhase::Ended);
         agent.note_stall(9_000);
         slot_of(&agent.from_node(&segment(1), way(&[], 4), 9_001));
     };
