A hop count in a header is no reason to end

Read in the diff: the count of a datagram between nodes was added to without a bound, which ends a debug build at the largest value. a_header_with_too_many_hops_is_no_fault failed before.

--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -151,7 +151,7 @@
             self.asked.insert(segment.flow, balancer);
         }
         self.flows.note_to_target(segment, now_ms);
-        let hops = way.hops + 1;
+        let hops = way.hops.saturating_add(1);
         Step::GiveToTarget { slot: self.remember(segment.flow, way), tell, hops }
     }
 
@@ -205,7 +205,7 @@
                 if let Some(balancer) = way.report_to {
                     self.asked.insert(segment.flow, balancer);
                 }
-                let hops = way.hops + 1;
+                let hops = way.hops.saturating_add(1);
                 Step::GiveToTarget { slot: self.remember(segment.flow, way), tell: None, hops }
             }
             Err(refused) => go_on(way, Some(refused)),
@@ -254,7 +254,7 @@
 fn go_on(mut way: Way, refused: Option<Refused>) -> Step {
     if !way.chain.is_empty() {
         let next = way.chain.remove(0);
-        way.hops += 1;
+        way.hops = way.hops.saturating_add(1);
         return Step::PassOn(next, way, refused);
     }
     match way.report_to {
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -274,6 +274,13 @@
         let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(1) };
         assert_eq!(agent.from_target(&returned, 2), given_back(4));
     };
+    a_header_with_too_many_hops_is_no_fault: {
+        let mut agent = agent();
+        let endless = Way { hops: u32::MAX, ..way(&[address(3, 8172)], 4) };
+        let given = agent.from_node(&segment(1), endless, 1);
+        let returned = Segment { bounced: true, slot: slot_of(&given), ..segment(1) };
+        assert!(matches!(agent.from_target(&returned, 2), Step::PassOn(..)));
+    };
     a_slot_of_another_flow_is_not_believed: {
         let mut agent = agent();
         let given = agent.from_node(&segment(1), way(&[address(3, 1)], 4), 1);
