One loop for calls that are made until they succeed, one backoff

The same loop with the same bounds stood at the agent's entry, its read of the balancers and the balancer's read of the nodes; the same random backoff in the follower and in the store reader.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -29,6 +29,7 @@
 pub mod refusals;
 pub mod relay;
 pub mod request_handler;
+pub mod retry;
 pub mod service_file;
 pub mod settings;
 pub mod signals;
--- a/src/process/passthrough/agent_introduction.rs
+++ b/src/process/passthrough/agent_introduction.rs
@@ -13,15 +13,14 @@
 use crate::process::passthrough::agent::Shared;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
+use crate::process::passthrough::registration::RETRY_MS;
+use crate::process::retry::until_done;
 use crate::process::store::StoreError;
 
 /// Time between two rounds of telling balancers that may not know of this agent: a third of the time
 /// that they have.
 const INTRODUCTION_PAUSE: Duration = Duration::from_millis(80);
 
-/// First and longest wait after a failed read of the balancers, in milliseconds.
-const BALANCERS_RETRY_MS: (u64, u64) = (100, 1_000);
-
 /// Writes the agent's entry, and then tells the balancers that may not know of it yet.
 pub(super) async fn register(shared: Arc<Shared>) {
     let node = &shared.settings.node;
@@ -32,19 +31,10 @@
     };
     let (store, key) = (&shared.platform.store, shared.entry_key());
     registration::register(store, &key, &entry, &shared.metrics).await;
-    let (mut wait_ms, longest_ms) = BALANCERS_RETRY_MS;
-    loop {
-        match registered_balancers(&shared).await {
-            Ok(balancers) => {
-                let now_ms = shared.now_ms();
-                shared.state().introduction.note_named(balancers, now_ms);
-                break;
-            }
-            Err(error) => shared.metrics.note_store_failure("balancers", &error),
-        }
-        sleep(Duration::from_millis(wait_ms)).await;
-        wait_ms = longest_ms.min(wait_ms * 2);
-    }
+    let note = |error: &StoreError| shared.metrics.note_store_failure("balancers", error);
+    let balancers = until_done(RETRY_MS, || registered_balancers(&shared), note).await;
+    let now_ms = shared.now_ms();
+    shared.state().introduction.note_named(balancers, now_ms);
     introduce(&shared).await;
 }
 
--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -20,6 +20,8 @@
 use crate::process::passthrough::follower::Pace;
 use crate::process::passthrough::registration;
 use crate::process::passthrough::registration::NodeEntry;
+use crate::process::passthrough::registration::RETRY_MS;
+use crate::process::retry::until_done;
 use crate::process::store::StoreChange;
 use crate::process::store::StoreError;
 use crate::process::store::StoreSnapshot;
@@ -65,9 +67,6 @@
 /// Time between two looks of the first balancer at entries that were left behind.
 const COLLECT_INTERVAL: Duration = Duration::from_secs(60);
 
-/// First and longest wait after a failed read of the nodes, in milliseconds.
-const NODES_RETRY_MS: (u64, u64) = (100, 1_000);
-
 /// Reads the nodes, and again once this balancer is registered: later ones find it in the store and
 /// make themselves known. Reads them again after a stall, in which some may have come and gone.
 pub(super) async fn follow_nodes(shared: Arc<Shared>) {
@@ -92,19 +91,12 @@
 }
 
 async fn read_nodes(shared: &Shared) {
-    let (mut wait_ms, longest_ms) = NODES_RETRY_MS;
-    loop {
-        match shared.platform.store.range(OWN_PREFIX).await {
-            Ok(snapshot) => {
-                snapshot.values.iter().for_each(|value| take_node(shared, value));
-                shared.probe_soon.notify_one();
-                return shared.send_state().await;
-            }
-            Err(error) => shared.metrics.note_store_failure("nodes", &error),
-        }
-        sleep(Duration::from_millis(wait_ms)).await;
-        wait_ms = longest_ms.min(wait_ms * 2);
-    }
+    let read = || shared.platform.store.range(OWN_PREFIX);
+    let note = |error: &StoreError| shared.metrics.note_store_failure("nodes", error);
+    let snapshot = until_done(RETRY_MS, read, note).await;
+    snapshot.values.iter().for_each(|value| take_node(shared, value));
+    shared.probe_soon.notify_one();
+    shared.send_state().await;
 }
 
 fn take_node(shared: &Shared, value: &StoreValue) {
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use tokio::time::sleep;
 
 use crate::log_event;
 use crate::process::events::Event;
+use crate::process::retry::backoff;
 use crate::process::store::Store;
 use crate::process::store::StoreChange;
 use crate::process::store::StoreError;
@@ -50,7 +50,7 @@
             continue;
         }
         failures += 1;
-        sleep(backoff(failures)).await;
+        sleep(backoff(failures, BACKOFF_MS)).await;
     }
 }
 
@@ -87,10 +87,3 @@
     }
     *failures = 0;
 }
-
-/// Waits longer with each failure, at random, so that nodes do not come back together.
-fn backoff(failures: u32) -> Duration {
-    let (low, high) = BACKOFF_MS;
-    let longest = high.min(low << failures.min(6));
-    Duration::from_millis(rand::rng().random_range(low..=longest))
-}
--- a/src/process/passthrough/registration.rs
+++ b/src/process/passthrough/registration.rs
@@ -6,22 +6,23 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Duration;
 
 use prost::Message;
-use tokio::time::sleep;
 
 use crate::connection::flow_key::pack_address;
 use crate::connection::flow_key::unpack_address;
 use crate::log_event;
 use crate::process::events::Event;
 use crate::process::passthrough::metrics::PassthroughMetrics;
+use crate::process::retry::until_done;
 use crate::process::store::Put;
 use crate::process::store::Store;
+use crate::process::store::StoreError;
 use crate::wire::NodeAddress;
 
-/// First and longest wait after a failed call. An entry must be back two seconds after the store is.
-const RETRY_MS: (u64, u64) = (100, 1_000);
+/// First and longest wait after a failed call on the nodes' entries, in milliseconds. An entry must be
+/// back two seconds after the store is.
+pub const RETRY_MS: (u64, u64) = (100, 1_000);
 
 /// Addresses of a node, as they stand in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -64,13 +65,8 @@
     metrics: &PassthroughMetrics,
 ) {
     let put = Put { key: key.to_owned(), value: entry.encode(), lease: None };
-    let (mut wait_ms, longest_ms) = RETRY_MS;
-    loop {
-        match store.transaction(&[], std::slice::from_ref(&put)).await {
-            Ok(_) => return log_event!(Event::Registered, "key={key}"),
-            Err(error) => metrics.note_store_failure("register", &error),
-        }
-        sleep(Duration::from_millis(wait_ms)).await;
-        wait_ms = longest_ms.min(wait_ms * 2);
-    }
+    let write = || store.transaction(&[], std::slice::from_ref(&put));
+    let note = |error: &StoreError| metrics.note_store_failure("register", error);
+    until_done(RETRY_MS, write, note).await;
+    log_event!(Event::Registered, "key={key}");
 }
--- a/src/process/store_reader.rs
+++ b/src/process/store_reader.rs
@@ -14,6 +14,7 @@
 use crate::process::configuration::parse_record;
 use crate::process::events::Event;
 use crate::process::metrics::count;
+use crate::process::retry::backoff;
 use crate::process::store::Put;
 use crate::process::store::Store;
 use crate::process::store::StoreChange;
@@ -94,7 +95,7 @@
             Err(error) => {
                 failures += 1;
                 note_failure(&shared, &error, failures);
-                sleep(backoff(failures)).await;
+                sleep(backoff(failures, BACKOFF_MS)).await;
             }
         }
     }
@@ -208,10 +209,3 @@
     count(&shared.metrics().store_failures, reason);
     log_event!(Event::StoreFailed, "{error} failures={failures}");
 }
-
-/// Waits longer with each failure, at random, so that nodes do not come back together.
-fn backoff(failures: u32) -> Duration {
-    let (low, high) = BACKOFF_MS;
-    let longest = high.min(low << failures.min(6));
-    Duration::from_millis(rand::rng().random_range(low..=longest))
-}
