One set of functions for a node's datagrams

Binding, receiving and sending stood in the balancer and were borrowed by the agent; five read loops had the same arm for errors, both roles the same size of a datagram, the same loop over receivers and the same sum for a caller's address. A round of probes and a single one shared all but the choice of agents. The comment on unprobed agents said that the entry is written again, which it is not.

--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -35,8 +35,10 @@
 use crate::process::passthrough::agent_forwarding;
 use crate::process::passthrough::agent_introduction;
 use crate::process::passthrough::agent_state::AgentState;
-use crate::process::passthrough::balancer::bind;
-use crate::process::passthrough::balancer::send;
+use crate::process::passthrough::datagrams::MAX_DATAGRAM_BYTES;
+use crate::process::passthrough::datagrams::bind;
+use crate::process::passthrough::datagrams::receive;
+use crate::process::passthrough::datagrams::send_to_all;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::metrics;
 use crate::process::passthrough::metrics::MetricsSource;
@@ -46,17 +48,14 @@
 use crate::process::signals;
 use crate::version::target_table::TargetStatus;
 
-/// Largest datagram that is read, in bytes.
-pub(super) const MAX_DATAGRAM_BYTES: usize = 4096;
-
 /// Time between two looks at the clock; a jump of [`STALL_MS`] between them is a stall.
 const TICK: Duration = Duration::from_millis(250);
 
 /// Time that a tick may be late, in milliseconds, before what is held counts as old.
 const STALL_MS: u64 = 750;
 
-/// Silence of all balancers, in milliseconds, after which the seeds are told again and the entry in
-/// the store is written again. Balancers probe each 300 ms.
+/// Silence of all balancers, in milliseconds, after which the seeds are told again, and those that the
+/// store names. Balancers probe each 300 ms.
 const UNPROBED_MS: u64 = 2_000;
 
 /// Time between the two farewells of an agent that stops.
@@ -203,10 +202,7 @@
     }
 
     pub(super) async fn tell(&self, balancers: &[SocketAddrV4]) {
-        let message = self.status().encode();
-        for balancer in balancers {
-            send(&self.control, &message, *balancer).await;
-        }
+        send_to_all(&self.control, &self.status().encode(), balancers).await;
     }
 }
 
@@ -276,13 +272,7 @@
 async fn read_control(shared: Arc<Shared>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let length = match shared.control.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_event!(Event::ForwardFailed, "{error}");
-                continue;
-            }
-        };
+        let length = receive(&shared.control, &mut buffer).await;
         let Some(NodeMessage::Probe(probe)) = NodeMessage::decode(&buffer[..length]) else {
             log_event!(Event::CallFailed, "control datagram of {length} bytes not understood");
             continue;
--- a/src/process/passthrough/agent_forwarding.rs
+++ b/src/process/passthrough/agent_forwarding.rs
@@ -10,10 +10,11 @@
 use crate::log_event;
 use crate::process::events::Event;
 use crate::process::metrics::count;
-use crate::process::passthrough::agent::MAX_DATAGRAM_BYTES;
 use crate::process::passthrough::agent::Shared;
 use crate::process::passthrough::agent_state::Step;
-use crate::process::passthrough::balancer::send;
+use crate::process::passthrough::datagrams::MAX_DATAGRAM_BYTES;
+use crate::process::passthrough::datagrams::receive;
+use crate::process::passthrough::datagrams::send;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Returned;
 use crate::process::passthrough::way;
@@ -29,11 +30,6 @@
         send(&self.control, &found.encode(), balancer).await;
     }
 
-    async fn give_to_caller(&self, datagram: &[u8], flow: &FlowKey) {
-        let port = self.settings.node.data_address.port();
-        send(&self.data, datagram, SocketAddrV4::new(*flow.caller.ip(), port)).await;
-    }
-
     fn note_refused(&self, refused: Refused, flow: &FlowKey, next: Option<SocketAddrV4>) {
         let reason = refused.as_str();
         count(&self.metrics.refused_openings, reason);
@@ -66,7 +62,7 @@
                 if let Some(waited_ms) = waited_ms {
                     self.metrics.answers_s.observe(waited_ms as f64 / MS_PER_S);
                 }
-                self.give_to_caller(datagram, &flow).await;
+                send(&self.data, datagram, self.settings.node.address_of_caller(&flow)).await;
                 if let Some(balancer) = tell {
                     self.tell_found(flow, balancer).await;
                 }
@@ -103,13 +99,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     loop {
-        let length = match shared.data.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_event!(Event::ForwardFailed, "{error}");
-                continue;
-            }
-        };
+        let length = receive(&shared.data, &mut buffer).await;
         let (way, start) = match way::decode(&buffer[..length]) {
             Ok(decoded) => decoded,
             Err(fault) => {
@@ -132,13 +122,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     loop {
-        let length = match shared.from_target.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_event!(Event::ForwardFailed, "{error}");
-                continue;
-            }
-        };
+        let length = receive(&shared.from_target, &mut buffer).await;
         let datagram = &mut buffer[..length];
         let Ok(segment) = shared.platform.segments.decode(datagram, Sender::Target) else {
             log_event!(Event::SegmentDropped, "reason=malformed bytes={length}");
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -1,6 +1,5 @@
 //! The balancer daemon for passed-through flows.
 
-use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -31,6 +30,11 @@
 use crate::process::passthrough::balancer_forwarding;
 use crate::process::passthrough::balancer_state::BalancerState;
 use crate::process::passthrough::balancer_store;
+use crate::process::passthrough::datagrams::MAX_DATAGRAM_BYTES;
+use crate::process::passthrough::datagrams::bind;
+use crate::process::passthrough::datagrams::receive;
+use crate::process::passthrough::datagrams::send;
+use crate::process::passthrough::datagrams::send_to_all;
 use crate::process::passthrough::exchange;
 use crate::process::passthrough::exchange::SnapshotSource;
 use crate::process::passthrough::message;
@@ -47,9 +51,6 @@
 use crate::version::target_table::KnownAgent;
 use crate::version::target_table::TargetStatus;
 
-/// Largest datagram that is read, in bytes.
-pub(super) const MAX_DATAGRAM_BYTES: usize = 4096;
-
 /// Time between two probes of an agent, in milliseconds: a quarter of the silence that counts.
 const PROBE_INTERVAL_MS: u64 = 300;
 
@@ -158,12 +159,6 @@
     log_event!(Event::Stopped);
 }
 
-/// Binds a UDP socket.
-pub(crate) async fn bind(address: SocketAddrV4) -> Result<UdpSocket> {
-    let address = SocketAddr::V4(address);
-    UdpSocket::bind(address).await.map_err(|source| Error::Socket { address, source })
-}
-
 impl Shared {
     pub(super) fn now_ms(&self) -> u64 {
         self.clock.now_ms()
@@ -177,10 +172,6 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn send_control(&self, message: &NodeMessage, to: SocketAddrV4) {
-        send(&self.control, &message.encode(), to).await;
-    }
-
     fn probe_for(&self, state: &BalancerState, agent: KnownAgent<'_>) -> Probe {
         let service = state.targets.status(agent.data).map_or("", |status| status.service.as_str());
         let configuration = state.routing.configuration();
@@ -200,8 +191,11 @@
 
     /// This process stood still: agents may have started that it does not know.
     fn note_stall(&self, now_ms: u64) {
-        self.state().targets.note_stall(now_ms);
-        self.state().knows_all_agents = false;
+        {
+            let mut state = self.state();
+            state.targets.note_stall(now_ms);
+            state.knows_all_agents = false;
+        }
         self.peers().note_stall(now_ms);
         self.has_read_nodes.store(false, Ordering::Relaxed);
         self.read_nodes_again.notify_one();
@@ -217,17 +211,24 @@
 
     async fn send_probes(&self, is_round: bool) {
         let now_ms = self.now_ms();
-        let probes: Vec<(SocketAddrV4, Probe)> = {
+        let due = {
             let peers = self.peers();
             let zone = &self.settings.node.availability_zone;
-            let mut state = self.state();
             let keeps = |agent, agent_zone: &str| agent_zone == zone && peers.keeps(agent, now_ms);
-            let due = state.targets.take_due_probes(is_round, keeps, now_ms);
-            let agents = due.into_iter().filter_map(|data| state.targets.agent(data));
+            self.state().targets.take_due_probes(is_round, keeps, now_ms)
+        };
+        self.probe(&due).await;
+    }
+
+    /// Probes agents, which tells them that this balancer knows them.
+    async fn probe(&self, agents: &[SocketAddrV4]) {
+        let probes: Vec<(SocketAddrV4, Probe)> = {
+            let state = self.state();
+            let agents = agents.iter().filter_map(|data| state.targets.agent(*data));
             agents.map(|agent| (agent.control, self.probe_for(&state, agent))).collect()
         };
         for (control, probe) in probes {
-            self.send_control(&NodeMessage::Probe(probe), control).await;
+            send(&self.control, &NodeMessage::Probe(probe).encode(), control).await;
         }
     }
 
@@ -265,10 +266,7 @@
             targets,
             is_stopping: self.is_stopping.load(Ordering::Relaxed),
         });
-        let datagram = message.encode();
-        for receiver in receivers {
-            send(&self.control, &datagram, *receiver).await;
-        }
+        send_to_all(&self.control, &message.encode(), receivers).await;
     }
 
     fn take_balancer(&self, message: message::BalancerState) {
@@ -304,19 +302,7 @@
         }
         // The agent waits for an answer, or for the limits of the service that it has just named.
         if is_changed || phase == TargetPhase::Introducing {
-            self.probe(data).await;
-        }
-    }
-
-    /// Probes one agent, which tells it that this balancer knows it.
-    async fn probe(&self, data: SocketAddrV4) {
-        let probe = {
-            let state = self.state();
-            let agent = state.targets.agent(data);
-            agent.map(|agent| (agent.control, self.probe_for(&state, agent)))
-        };
-        if let Some((control, probe)) = probe {
-            self.send_control(&NodeMessage::Probe(probe), control).await;
+            self.probe(&[data]).await;
         }
     }
 
@@ -351,24 +337,11 @@
     }
 }
 
-/// Sends a datagram. A lost one is sent again by the flow's ends or by the next round.
-pub(crate) async fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddrV4) {
-    if let Err(error) = socket.send_to(datagram, SocketAddr::V4(to)).await {
-        log_event!(Event::ForwardFailed, "to={to} {error}");
-    }
-}
-
 async fn read_control(shared: Arc<Shared>) {
     let mut buffer = vec![0; 65_536];
     let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     loop {
-        let length = match shared.control.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_event!(Event::ForwardFailed, "{error}");
-                continue;
-            }
-        };
+        let length = receive(&shared.control, &mut buffer).await;
         let now_ms = shared.now_ms();
         match NodeMessage::decode(&buffer[..length]) {
             Some(NodeMessage::Status(status)) => {
--- a/src/process/passthrough/balancer_forwarding.rs
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -1,6 +1,5 @@
 //! What a balancer does with segments, once it is decided.
 
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use crate::connection::segment::Segment;
@@ -8,12 +7,13 @@
 use crate::log_event;
 use crate::process::events::Event;
 use crate::process::metrics::count;
-use crate::process::passthrough::balancer::MAX_DATAGRAM_BYTES;
 use crate::process::passthrough::balancer::Shared;
-use crate::process::passthrough::balancer::send;
 use crate::process::passthrough::balancer_state::DropReason;
 use crate::process::passthrough::balancer_state::Forwarding;
 use crate::process::passthrough::balancer_state::ResetReason;
+use crate::process::passthrough::datagrams::MAX_DATAGRAM_BYTES;
+use crate::process::passthrough::datagrams::receive;
+use crate::process::passthrough::datagrams::send;
 use crate::process::passthrough::message::Returned;
 use crate::process::passthrough::way;
 
@@ -25,13 +25,8 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     loop {
-        match shared.data.recv_from(&mut buffer).await {
-            Ok((length, _)) => {
-                forward_segment(&shared, &buffer[..length], &mut out).await;
-            }
-            // An earlier send was refused by its receiver.
-            Err(error) => log_event!(Event::ForwardFailed, "{error}"),
-        }
+        let length = receive(&shared.data, &mut buffer).await;
+        forward_segment(&shared, &buffer[..length], &mut out).await;
     }
 }
 
@@ -106,6 +101,5 @@
         segment.opens
     );
     let datagram = shared.platform.segments.reset(&flow, segment.acknowledged);
-    let port = shared.settings.node.data_address.port();
-    send(&shared.data, &datagram, SocketAddrV4::new(*flow.caller.ip(), port)).await;
+    send(&shared.data, &datagram, shared.settings.node.address_of_caller(&flow)).await;
 }
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -14,6 +14,7 @@
 mod balancer_forwarding;
 pub mod balancer_state;
 pub mod balancer_store;
+pub mod datagrams;
 pub mod exchange;
 pub mod follower;
 pub mod message;
--- a/src/process/passthrough/settings.rs
+++ b/src/process/passthrough/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use crate::connection::flow_key::FlowKey;
 use crate::error::Result;
 use crate::process::document::Section;
 use crate::process::settings::LogSettings;
@@ -47,6 +48,13 @@
     pub log: LogSettings,
 }
 
+impl NodeSettings {
+    /// Where segments to a caller go: callers' hosts take them at the port that nodes take theirs at.
+    pub fn address_of_caller(&self, flow: &FlowKey) -> SocketAddrV4 {
+        SocketAddrV4::new(*flow.caller.ip(), self.data_address.port())
+    }
+}
+
 /// Settings of a balancer.
 #[derive(Clone, Debug)]
 pub struct PassthroughBalancerSettings {
