Keeper scores hash the agent once; a log line finds its budget by the event itself

The agent's address was written out and hashed again for each balancer in each round of probes, and at each comparison of a sort; the number of a search was made in two places; each log line went through the list of events to find its place, which is its number in it.

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -110,8 +110,7 @@
         is_limited: bool,
         now_ms: u64,
     ) -> Option<u32> {
-        self.last_search = self.last_search.wrapping_add(1).max(1);
-        let search = self.last_search;
+        let search = self.next_search();
         let entry = self.entry(flow, now_ms);
         if now_ms.saturating_sub(entry.first_search_ms) > SEARCH_WINDOW_MS {
             entry.first_search_ms = now_ms;
@@ -143,8 +142,7 @@
 
     /// Notes that a flow's opening is offered, and returns the number of the offer.
     pub fn begin_opening(&mut self, flow: FlowKey, now_ms: u64) -> u32 {
-        self.last_search = self.last_search.wrapping_add(1).max(1);
-        let search = self.last_search;
+        let search = self.next_search();
         let entry = self.entry(flow, now_ms);
         entry.search = search;
         entry.offered_ms = now_ms;
@@ -178,6 +176,12 @@
         self.entries.retain(|_, entry| now_ms.saturating_sub(entry.used_ms) <= idle_ms);
     }
 
+    /// Number of the next search or offer; never 0.
+    fn next_search(&mut self) -> u32 {
+        self.last_search = self.last_search.wrapping_add(1).max(1);
+        self.last_search
+    }
+
     fn entry(&mut self, flow: FlowKey, now_ms: u64) -> &mut Entry {
         if self.entries.len() >= MAX_FOUND_FLOWS && !self.entries.contains_key(&flow) {
             self.entries.swap_remove_index(0);
--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -1,5 +1,6 @@
 //! Numbered log events. `docs/LOG-EVENTS.md` is the catalogue; a test holds the two together.
 
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -129,7 +130,7 @@
 /// Milliseconds in a second.
 const SECOND_MS: u64 = 1_000;
 
-/// Lines of each event in the current second.
+/// Lines of each event in the current second, in the order of the events.
 static BUDGETS: [LineBudget; Event::ALL.len()] = [const { LineBudget::new() }; Event::ALL.len()];
 
 struct LineBudget {
@@ -151,15 +152,14 @@
 /// Whether an event may write one more line in this second, and how many lines were left out in the
 /// one before.
 pub fn admit_line(event: Event) -> Option<u32> {
-    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    static START: OnceLock<Instant> = OnceLock::new();
     let elapsed = START.get_or_init(Instant::now).elapsed();
     admit_line_at(event, u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
 
 /// The same at a given time.
 pub fn admit_line_at(event: Event, now_ms: u64) -> Option<u32> {
-    let index = Event::ALL.iter().position(|other| *other == event)?;
-    let budget = &BUDGETS[index];
+    let budget = &BUDGETS[event as usize];
     let second = now_ms / SECOND_MS + 1;
     if budget.second.swap(second, Ordering::Relaxed) != second {
         budget.lines.store(1, Ordering::Relaxed);
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -119,9 +119,10 @@
 
     /// Whether this balancer probes an agent of its zone.
     pub fn keeps(&self, agent: SocketAddrV4, now_ms: u64) -> bool {
-        let own_score = keeper_score(agent, &self.own);
+        let score = keeper_scores(agent);
+        let own_score = score(&self.own);
         let in_zone = self.heard(now_ms).filter(|(_, peer)| peer.zone == self.zone);
-        in_zone.filter(|(control, _)| keeper_score(agent, control) > own_score).count() < KEEPERS
+        in_zone.filter(|(control, _)| score(control) > own_score).count() < KEEPERS
     }
 
     /// Balancers to tell of this one's state: all of its zone, those that nobody has heard yet, and one
@@ -168,7 +169,8 @@
         if in_zone.is_empty() {
             return all.collect();
         }
-        in_zone.sort_by_key(|balancer| Reverse(keeper_score(agent, balancer)));
+        let score = keeper_scores(agent);
+        in_zone.sort_by_cached_key(|balancer| Reverse(score(balancer)));
         in_zone.truncate(KEEPERS);
         in_zone
     }
@@ -216,9 +218,10 @@
     }
 }
 
-fn keeper_score(agent: SocketAddrV4, balancer: &SocketAddrV4) -> u64 {
+/// Scores of balancers for an agent; the highest of its zone keep it.
+fn keeper_scores(agent: SocketAddrV4) -> impl Fn(&SocketAddrV4) -> u64 {
     let id = hash64(agent.to_string().as_bytes());
-    hash64_with_seed(balancer.to_string().as_bytes(), id)
+    move |balancer| hash64_with_seed(balancer.to_string().as_bytes(), id)
 }
 
 fn is_over(peer: &Peer, now_ms: u64) -> bool {
