--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -3,12 +3,10 @@
 #[macro_use]
 mod support;
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use rhubarbthread::connection::flow_key::FlowKey;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
@@ -28,35 +26,18 @@
 use rhubarbthread::version::target_table::SILENCE_MS;
 use rhubarbthread::version::target_table::TargetStatus;
 
+use crate::support::passthrough::address;
+use crate::support::passthrough::segment_of;
+
 const IDEMPOTENT: u16 = 443;
 const ONCE: u16 = 8080;
 
-fn address(last: u8, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
-}
-
 fn agent(last: u8) -> SocketAddrV4 {
     address(last, 8172)
 }
 
-fn segment(route_port: u16, caller_port: u16) -> Segment {
-    Segment {
-        flow: FlowKey { caller: address(1, caller_port), service: address(200, route_port) },
-        opens: false,
-        accepts: false,
-        ends: false,
-        resets: false,
-        bounced: false,
-        sequence: 100,
-        acknowledged: 7,
-        copy: 0,
-        payload_bytes: 0,
-        slot: 0,
-    }
-}
-
 fn opening(route_port: u16, caller_port: u16) -> Segment {
-    Segment { opens: true, ..segment(route_port, caller_port) }
+    Segment { opens: true, ..segment_of(route_port, caller_port) }
 }
 
 fn rule(service: &str, is_idempotent: bool) -> RouteRule {
@@ -265,11 +246,11 @@
     };
     a_found_flow_goes_straight_to_its_agent: {
         let mut balancer = balancer();
-        balancer.found.found(segment(ONCE, 1).flow, agent(22), true, 1);
-        assert_eq!(ways(balancer.forward(&segment(ONCE, 1), 2)), vec![vec![agent(22)]]);
+        balancer.found.found(segment_of(ONCE, 1).flow, agent(22), true, 1);
+        assert_eq!(ways(balancer.forward(&segment_of(ONCE, 1), 2)), vec![vec![agent(22)]]);
     };
     a_flow_that_is_not_found_is_searched_for_along_one_chain_a_zone: {
-        let ways = ways(balancer().forward(&segment(ONCE, 1), 1));
+        let ways = ways(balancer().forward(&segment_of(ONCE, 1), 1));
         let mut all: Vec<SocketAddrV4> = ways.iter().flatten().copied().collect();
         all.sort_unstable();
         assert_eq!(all, [11, 12, 13, 21, 22].map(agent));
@@ -278,18 +259,18 @@
     a_target_behind_one_that_is_gone_is_found_by_the_next_search: {
         // One machine a second vanished without a word; each ended all searches at its place.
         let mut balancer = balancer();
-        let first = ways(balancer.forward(&segment(ONCE, 1), 1));
-        let second = ways(balancer.forward(&segment(ONCE, 1), 201));
+        let first = ways(balancer.forward(&segment_of(ONCE, 1), 1));
+        let second = ways(balancer.forward(&segment_of(ONCE, 1), 201));
         let reversed = |chain: &Vec<SocketAddrV4>| chain.iter().rev().copied().collect::<Vec<_>>();
         assert_eq!(second, first.iter().map(reversed).collect::<Vec<_>>());
     };
     who_holds_up_a_search_is_known_to_be_silent_soon: {
         // What a keeper has told is 0.7 s old when the agent vanishes; alone it would count for 3.2 s.
         let mut balancer = balancer();
-        balancer.forward(&segment(ONCE, 1), 700);
+        balancer.forward(&segment_of(ONCE, 1), 700);
         let not_kept = |_: SocketAddrV4, _: &str| false;
         assert!(balancer.targets.take_due_probes(true, not_kept, 750).is_empty());
-        balancer.forward(&segment(ONCE, 1), 900);
+        balancer.forward(&segment_of(ONCE, 1), 900);
         let probed = balancer.targets.take_due_probes(true, not_kept, 950);
         assert_eq!(probed.len(), 5);
         for last in [11, 12, 13, 21] {
@@ -308,21 +289,21 @@
     a_route_that_moved_is_searched_in_its_past_service_first: {
         let mut balancer = balancer();
         balancer.routing.apply_configuration(configuration(2, "zpravy"), 11);
-        let ways = ways(balancer.forward(&segment(ONCE, 1), 1));
+        let ways = ways(balancer.forward(&segment_of(ONCE, 1), 1));
         let home = ways.iter().find(|chain| chain.contains(&agent(13))).expect("zone a is asked");
         assert_eq!(home[0], agent(13));
         assert_eq!(home.len(), 3);
     };
     a_flow_that_all_have_given_back_is_reset: {
         let mut balancer = balancer();
-        let forwarding = give_all_back(&mut balancer, &segment(ONCE, 1), 1);
+        let forwarding = give_all_back(&mut balancer, &segment_of(ONCE, 1), 1);
         assert_eq!(forwarding, Forwarding::Reset(ResetReason::NotHeld));
     };
     a_balancer_that_may_not_know_all_agents_resets_nothing: {
         let mut balancer = balancer();
         balancer.knows_all_agents = false;
         for route in [ONCE, IDEMPOTENT] {
-            let forwarding = give_all_back(&mut balancer, &segment(route, 1), 1);
+            let forwarding = give_all_back(&mut balancer, &segment_of(route, 1), 1);
             assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
         }
     };
@@ -368,12 +349,12 @@
     };
     a_flow_that_one_zone_has_not_given_back_is_not_reset: {
         let mut balancer = balancer();
-        let forwarding = balancer.forward(&segment(ONCE, 1), 1);
+        let forwarding = balancer.forward(&segment_of(ONCE, 1), 1);
         let (agent, search) = searches(&forwarding)[0];
-        let forwarding = balancer.take_back(&segment(ONCE, 1), agent, search, 2);
+        let forwarding = balancer.take_back(&segment_of(ONCE, 1), agent, search, 2);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::Searching));
         // The same chain again proves no more.
-        let forwarding = balancer.take_back(&segment(ONCE, 1), agent, search + 7, 3);
+        let forwarding = balancer.take_back(&segment_of(ONCE, 1), agent, search + 7, 3);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::Searching));
     };
     an_agent_that_stops_for_a_moment_proves_nothing: {
@@ -382,7 +363,7 @@
             TargetStatus { is_stopping: true, sequence: 2, ..status(22, "b", "vypocet") };
         balancer.targets.update(stopping, 0, 1);
         for route in [ONCE, IDEMPOTENT] {
-            let forwarding = give_all_back(&mut balancer, &segment(route, 1), 2);
+            let forwarding = give_all_back(&mut balancer, &segment_of(route, 1), 2);
             assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
         }
         assert_eq!(balancer.targets.liveness(agent(22), HOLD_MS), Some(Liveness::Awaited));
@@ -393,7 +374,7 @@
             TargetStatus { is_stopping: true, sequence: 2, ..status(22, "b", "vypocet") };
         balancer.targets.update(stopping, 0, 1);
         let counted = |balancer: &mut BalancerState, now_ms| {
-            let forwarding = balancer.forward(&segment(ONCE, 1), now_ms);
+            let forwarding = balancer.forward(&segment_of(ONCE, 1), now_ms);
             searches(&forwarding).iter().filter(|(_, search)| *search != u32::MAX).count()
         };
         assert_eq!([2, 202, 602, 1_402].map(|now_ms| counted(&mut balancer, now_ms)), [2, 2, 0, 0]);
@@ -403,7 +384,7 @@
         // One chain through all zones ended at the one that was cut off.
         let mut balancer = balancer();
         for now_ms in [1, 201, 601, 1_401] {
-            let ways = ways(balancer.forward(&segment(ONCE, 1), now_ms));
+            let ways = ways(balancer.forward(&segment_of(ONCE, 1), now_ms));
             assert!(ways.iter().any(|chain| chain.contains(&agent(11)) && !chain.contains(&agent(21))));
         }
     };
@@ -411,17 +392,17 @@
         let mut balancer = balancer();
         let now_ms = silence(&mut balancer, 22, 1);
         assert_eq!(balancer.targets.liveness(agent(22), now_ms), Some(Liveness::Silent));
-        let idempotent = give_all_back(&mut balancer, &segment(IDEMPOTENT, 1), now_ms);
+        let idempotent = give_all_back(&mut balancer, &segment_of(IDEMPOTENT, 1), now_ms);
         assert_eq!(idempotent, Forwarding::Reset(ResetReason::NotHeld));
-        let once = give_all_back(&mut balancer, &segment(ONCE, 1), now_ms);
+        let once = give_all_back(&mut balancer, &segment_of(ONCE, 1), now_ms);
         assert_eq!(once, Forwarding::Drop(DropReason::NotProved));
     };
     a_flow_at_a_silent_agent_is_left_by_callers_that_may_repeat: {
         let mut balancer = balancer();
         let now_ms = silence(&mut balancer, 22, 1);
         for (route, expected) in [(IDEMPOTENT, true), (ONCE, false)] {
-            balancer.found.found(segment(route, 1).flow, agent(22), true, now_ms);
-            let forwarding = balancer.forward(&segment(route, 1), now_ms);
+            balancer.found.found(segment_of(route, 1).flow, agent(22), true, now_ms);
+            let forwarding = balancer.forward(&segment_of(route, 1), now_ms);
             let is_reset = forwarding == Forwarding::Reset(ResetReason::HolderSilent);
             assert_eq!(is_reset, expected, "route {route}");
         }
@@ -431,13 +412,13 @@
         // before. The agent that took the old copy fell silent, and the flow was reset.
         let mut balancer = balancer();
         let now_ms = silence(&mut balancer, 22, 1);
-        balancer.found.found(segment(IDEMPOTENT, 1).flow, agent(22), false, now_ms);
-        let ways = ways(balancer.forward(&segment(IDEMPOTENT, 1), now_ms));
+        balancer.found.found(segment_of(IDEMPOTENT, 1).flow, agent(22), false, now_ms);
+        let ways = ways(balancer.forward(&segment_of(IDEMPOTENT, 1), now_ms));
         assert!(ways.iter().any(|chain| chain.contains(&agent(11))), "{ways:?}");
     };
     an_old_copy_of_an_opening_takes_no_flow_from_its_agent: {
         let mut balancer = balancer();
-        let flow = segment(IDEMPOTENT, 1).flow;
+        let flow = segment_of(IDEMPOTENT, 1).flow;
         balancer.found.found(flow, agent(11), true, 1);
         balancer.found.found(flow, agent(22), false, 2);
         assert_eq!(balancer.found.holder(&flow, 3), Some(agent(11)));
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -3,11 +3,9 @@
 #[macro_use]
 mod support;
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
 use indexmap::IndexSet;
-use rhubarbthread::connection::flow_key::FlowKey;
 use rhubarbthread::connection::held_flows::HeldFlows;
 use rhubarbthread::connection::held_flows::Holding;
 use rhubarbthread::connection::segment::Segment;
@@ -23,6 +21,9 @@
 use rhubarbthread::process::passthrough::message::Probe;
 use rhubarbthread::process::passthrough::way::Way;
 
+use crate::support::passthrough::address;
+use crate::support::passthrough::segment_of;
+
 /// Time after which an address is used by another service, less a tenth, in milliseconds.
 const SILENCE_MS: u64 = 1_800;
 const NO_LOAD: TargetLoad = TargetLoad { flows: 0, busy: 0 };
@@ -49,24 +50,8 @@
     gate.admit("vypocet", NO_LOAD, true, false, now_ms)
 }
 
-fn address(last: u8, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
-}
-
 fn segment(port: u16) -> Segment {
-    Segment {
-        flow: FlowKey { caller: address(1, port), service: address(200, 443) },
-        opens: false,
-        accepts: false,
-        ends: false,
-        resets: false,
-        bounced: false,
-        sequence: 100,
-        acknowledged: 7,
-        copy: 0,
-        payload_bytes: 0,
-        slot: 0,
-    }
+    segment_of(443, port)
 }
 
 fn opening(port: u16) -> Segment {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod explore;
+pub mod passthrough;
 
 use std::future::Future;
 use std::net::Ipv4Addr;
