Openings whose request has not come yet count as busy slots

Cause: an agent counted a slot as busy only when the request came, a round trip after the opening; a burst of openings met a target with free slots until it had them all.

By itself no gain: the last of the chain took what it was given, however busy.

--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -3,6 +3,8 @@
 //! Flows and busy slots are counted here for placing. Nothing is decided by the table that must be
 //! right: the target itself gives back what it does not hold.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
 use crate::connection::flow_key::FlowKey;
@@ -16,6 +18,10 @@
 /// again after 1.6 s at the latest.
 const BUSY_MS: u64 = 2_000;
 
+/// Time, in milliseconds, in which the first request of a flow that opens is expected: two round trips
+/// between any two zones, and what a slow balancer adds.
+const EXPECTED_MS: u64 = 100;
+
 /// Bytes of a target's stream that a caller's first acknowledgement covers at most: what both ends have
 /// in flight, as the platform bounds it for resets.
 const MAX_FIRST_ACKNOWLEDGED: u32 = 76_800;
@@ -29,6 +35,8 @@
     answered: bool,
     is_busy: bool,
     busy_since_ms: u64,
+    /// Whether its first request is expected.
+    is_expected: bool,
     caller_ended: bool,
     target_ended: bool,
     /// Position that the target's byte stream starts at, once it has accepted the opening.
@@ -75,6 +83,9 @@
     flows: IndexMap<FlowKey, HeldFlow>,
     open: u32,
     busy: u32,
+    expected: u32,
+    /// Flows whose first request is or was expected, with the time until when.
+    expected_until_ms: VecDeque<(FlowKey, u64)>,
 }
 
 impl HeldFlows {
@@ -88,9 +99,12 @@
         self.open
     }
 
-    /// Flows whose caller waits for an answer.
+    /// Flows whose caller waits for an answer, and those that have only just opened and bring a request.
+    ///
+    /// The load that it answers: openings in a burst, as after a loss of power. Their requests come a
+    /// round trip later, and without them a target would take them all.
     pub fn busy(&self) -> u32 {
-        self.busy
+        self.busy + self.expected
     }
 
     /// What is known of a flow.
@@ -127,8 +141,13 @@
         if !segment.opens && !is_known {
             return;
         }
+        if segment.opens && !is_known {
+            self.expected_until_ms.push_back((segment.flow, now_ms + EXPECTED_MS));
+        }
         self.change(segment.flow, |held| {
             held.seen_ms = now_ms;
+            held.is_expected = segment.opens && (held.is_expected || !is_known)
+                || held.is_expected && segment.payload_bytes == 0 && !segment.resets;
             held.is_confirmed |= !segment.opens;
             held.caller_ended |= segment.ends;
             if held.take_data(segment) && !held.is_busy {
@@ -154,6 +173,7 @@
                 held.is_confirmed = true;
             }
             held.answered |= !segment.resets;
+            held.is_expected &= !segment.resets;
             held.target_ended |= segment.ends || segment.resets;
             held.caller_ended |= segment.resets;
             if segment.payload_bytes > 0 || segment.resets {
@@ -166,6 +186,18 @@
         waited_ms
     }
 
+    /// No longer expects requests that have not come in time.
+    pub fn expire_expected(&mut self, now_ms: u64) {
+        while let Some((flow, until_ms)) = self.expected_until_ms.front().copied()
+            && until_ms <= now_ms
+        {
+            self.expected_until_ms.pop_front();
+            if self.flows.contains_key(&flow) {
+                self.change(flow, |held| held.is_expected = false);
+            }
+        }
+    }
+
     /// Forgets a flow that the target gave back.
     pub fn forget(&mut self, flow: &FlowKey) {
         if let Some(held) = self.flows.swap_remove(flow) {
@@ -217,12 +249,15 @@
     fn count(&mut self, held: &HeldFlow, add: bool) {
         let open = u32::from(!held.has_ended());
         let busy = u32::from(held.is_busy && !held.has_ended());
+        let expected = u32::from(held.is_expected && !held.has_ended());
         if add {
             self.open += open;
             self.busy += busy;
+            self.expected += expected;
         } else {
             self.open -= open;
             self.busy -= busy;
+            self.expected -= expected;
         }
     }
 }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -180,6 +180,7 @@
 
     /// Drops what is over.
     pub fn expire(&mut self, now_ms: u64) {
+        self.flows.expire_expected(now_ms);
         self.flows.expire(now_ms, self.idle_timeout_ms);
         if self.asked.len() > SLOTS as usize {
             self.asked.clear();
@@ -196,6 +197,7 @@
         if !self.introduction.is_done(now_ms) {
             return go_on(way, Some(Refused::NotIntroduced));
         }
+        self.flows.expire_expected(now_ms);
         let load = TargetLoad { flows: self.flows.open(), busy: self.flows.busy() };
         let is_copy = self.flows.holding(&segment.flow) != Holding::Unknown;
         let may_pass = !way.chain.is_empty();
