A full target takes no opening; the balancer offers it again

All others passed on as busy, and the last of a chain had to take what came.

Change: from twice its slots a target takes none, as the last neither; the opening goes back to the balancer, which offers it to others each 50 ms for 0.4 s and then refuses it.

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -24,6 +24,13 @@
 /// Time in which a refusal must be back, in milliseconds: callers send a copy after 200 ms.
 const REFUSAL_MS: u64 = 150;
 
+/// Time in which an opening is offered again while all targets are full, in milliseconds: a latency
+/// objective; later the caller is better off with a refusal.
+const OFFER_MS: u64 = 400;
+
+/// Time between two offers of an opening, in milliseconds: the work of a request, in which slots are freed.
+const OFFER_INTERVAL_MS: u64 = 50;
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     holder: Option<SocketAddrV4>,
@@ -35,6 +42,8 @@
     search_ms: u64,
     outstanding: usize,
     offered_ms: u64,
+    first_offered_ms: u64,
+    offers: u32,
 }
 
 /// Time after which a search counts as held up, in milliseconds: a chain takes a few milliseconds, and
@@ -161,11 +170,34 @@
     pub fn begin_opening(&mut self, flow: FlowKey, now_ms: u64) -> u32 {
         let search = self.next_search();
         let entry = self.entry(flow, now_ms);
+        if entry.offers == 0 {
+            entry.first_offered_ms = now_ms;
+        }
         entry.search = search;
         entry.offered_ms = now_ms;
+        entry.offers += 1;
         search
     }
 
+    /// How often the flow's opening has been offered.
+    pub fn offers(&self, flow: &FlowKey) -> u32 {
+        self.entries.get(flow).map_or(0, |entry| entry.offers)
+    }
+
+    /// Whether an opening that met full targets is offered once more.
+    pub fn may_offer_again(&self, flow: &FlowKey, now_ms: u64) -> bool {
+        self.entries
+            .get(flow)
+            .is_some_and(|entry| now_ms.saturating_sub(entry.first_offered_ms) < OFFER_MS)
+    }
+
+    /// Whether the last offer of a flow's opening is so old that the next one may be made.
+    pub fn is_offer_due(&self, flow: &FlowKey, now_ms: u64) -> bool {
+        self.entries.get(flow).is_none_or(|entry| {
+            now_ms.saturating_sub(entry.offered_ms) >= OFFER_INTERVAL_MS
+        })
+    }
+
     /// Whether nobody has taken the flow, and its opening was offered so shortly ago that its caller
     /// has sent no copy, which others may take.
     pub fn is_refused(&self, flow: &FlowKey, search: u32, now_ms: u64) -> bool {
@@ -213,6 +245,8 @@
             search_ms: now_ms,
             outstanding: 0,
             offered_ms: 0,
+            first_offered_ms: 0,
+            offers: 0,
         };
         let entry = self.entries.entry(flow).or_insert(fresh);
         entry.used_ms = now_ms;
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -14,7 +14,11 @@
 const COLD_WINDOW_MS: u64 = 1_100;
 
 /// Busy slots over slots, in percent, from which an opening is passed on while others can take it.
-const FULL_PERCENT: u64 = 100;
+const BUSY_PERCENT: u64 = 100;
+
+/// Busy slots over slots, in percent, from which a target takes no opening: one request at work and one
+/// behind it for each slot, a wait that latency objectives of three to five times the work allow.
+const FULL_PERCENT: u64 = 200;
 
 /// What a target says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -104,11 +108,13 @@
     Flows,
     /// All slots are busy and others can take the flow.
     Busy,
+    /// As many requests wait as are at work.
+    Full,
 }
 
 impl Refused {
     /// All reasons, for metrics and docs.
-    pub const ALL: [Refused; 9] = [
+    pub const ALL: [Refused; 10] = [
         Refused::NotIntroduced,
         Refused::TargetSilent,
         Refused::OtherService,
@@ -118,6 +124,7 @@
         Refused::Cold,
         Refused::Flows,
         Refused::Busy,
+        Refused::Full,
     ];
 
     /// Label of this reason in metrics and logs.
@@ -132,6 +139,7 @@
             Refused::Cold => "cold",
             Refused::Flows => "flows",
             Refused::Busy => "busy",
+            Refused::Full => "full",
         }
     }
 }
@@ -331,9 +339,11 @@
         if !is_copy && limits.is_some_and(|limits| load.flows >= limits.max_flows) {
             return Err(Refused::Flows);
         }
-        let slots = u64::from(life.report.slots.max(1));
-        let is_full = u64::from(load.busy) * 100 >= slots * FULL_PERCENT;
-        if !is_copy && is_full && may_pass {
+        let busy_percent = u64::from(load.busy) * 100 / u64::from(life.report.slots.max(1));
+        if !is_copy && busy_percent >= FULL_PERCENT {
+            return Err(Refused::Full);
+        }
+        if !is_copy && busy_percent >= BUSY_PERCENT && may_pass {
             return Err(Refused::Busy);
         }
         if life.cold_until_ms > now_ms { self.admit_cold(limits, now_ms) } else { Ok(()) }
--- a/src/process/passthrough/agent_forwarding.rs
+++ b/src/process/passthrough/agent_forwarding.rs
@@ -76,7 +76,7 @@
                 way::encode(&way, datagram, out);
                 send(&self.data, out, next).await;
             }
-            Step::GiveBack { balancer, search, refused } => {
+            Step::GiveBack { balancer, search, met_full, refused } => {
                 if let Some(refused) = refused {
                     self.note_refused(refused, &flow, None);
                 }
@@ -86,6 +86,7 @@
                     agent: self.settings.node.data_address,
                     search,
                     segment: datagram.to_vec(),
+                    met_full,
                 });
                 send(&self.control, &returned.encode(), balancer).await;
             }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -54,6 +54,8 @@
         balancer: SocketAddrV4,
         /// Number of the search or the offer.
         search: u32,
+        /// Whether a target on the way was full.
+        met_full: bool,
         /// Why the target is not offered an opening.
         refused: Option<Refused>,
     },
@@ -254,13 +256,16 @@
 
 /// Goes on to the next agent, or back to the balancer.
 fn go_on(mut way: Way, refused: Option<Refused>) -> Step {
+    way.met_full |= matches!(refused, Some(Refused::Busy | Refused::Full));
     if !way.chain.is_empty() {
         let next = way.chain.remove(0);
         way.hops = way.hops.saturating_add(1);
         return Step::PassOn(next, way, refused);
     }
     match way.report_to {
-        Some(balancer) => Step::GiveBack { balancer, search: way.search, refused },
+        Some(balancer) => {
+            Step::GiveBack { balancer, search: way.search, met_full: way.met_full, refused }
+        }
         None => Step::Drop,
     }
 }
--- a/src/process/passthrough/balancer_forwarding.rs
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -67,7 +67,8 @@
         return;
     };
     let (agent, search) = (returned.agent, returned.search);
-    let forwarding = shared.state().take_back(&segment, agent, search, shared.now_ms());
+    let met_full = returned.met_full;
+    let forwarding = shared.state().take_back(&segment, agent, search, met_full, shared.now_ms());
     carry_out(shared, forwarding, &segment, datagram, out).await;
 }
 
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -17,6 +17,9 @@
 /// Agents without an answer that get a copy of a segment whose flow is not found.
 const MAX_COPIES: usize = 8;
 
+/// Agents that an opening is offered to again: each offer meets others, and all together are bounded.
+const OFFERED_AGAIN: usize = 3;
+
 /// Number of searches whose end nobody waits for: copies to agents that may be gone.
 const UNCOUNTED_SEARCH: u32 = u32::MAX;
 
@@ -42,6 +45,8 @@
     NoConfiguration,
     /// No agent is known that may take or hold the flow, but some may turn up in a moment.
     NoTargetYet,
+    /// An opening that met only full targets.
+    AllFull,
     /// Its flow is being searched for.
     SearchUnderWay,
     /// Not held by those who answered; one that may hold it is expected to answer.
@@ -50,9 +55,10 @@
 
 impl WaitReason {
     /// All reasons, for metrics and docs.
-    pub const ALL: [WaitReason; 4] = [
+    pub const ALL: [WaitReason; 5] = [
         WaitReason::NoConfiguration,
         WaitReason::NoTargetYet,
+        WaitReason::AllFull,
         WaitReason::SearchUnderWay,
         WaitReason::NotAllAnswered,
     ];
@@ -62,6 +68,7 @@
         match self {
             WaitReason::NoConfiguration => "no-configuration",
             WaitReason::NoTargetYet => "no-target-yet",
+            WaitReason::AllFull => "all-full",
             WaitReason::SearchUnderWay => "search-under-way",
             WaitReason::NotAllAnswered => "not-all-answered",
         }
@@ -112,6 +119,8 @@
     NoRoute,
     /// No target of the route's services takes flows.
     NoTarget,
+    /// All targets of the route's services are full.
+    AllFull,
     /// The agent beside the flow's target is silent, and the request may be repeated.
     HolderSilent,
     /// Every target that may hold the flow has given it back.
@@ -120,9 +129,10 @@
 
 impl ResetReason {
     /// All reasons, for metrics and docs.
-    pub const ALL: [ResetReason; 4] = [
+    pub const ALL: [ResetReason; 5] = [
         ResetReason::NoRoute,
         ResetReason::NoTarget,
+        ResetReason::AllFull,
         ResetReason::HolderSilent,
         ResetReason::NotHeld,
     ];
@@ -132,6 +142,7 @@
         match self {
             ResetReason::NoRoute => "no-route",
             ResetReason::NoTarget => "no-target",
+            ResetReason::AllFull => "all-full",
             ResetReason::HolderSilent => "holder-silent",
             ResetReason::NotHeld => "not-held",
         }
@@ -190,13 +201,18 @@
         segment: &Segment,
         agent: SocketAddrV4,
         search: u32,
+        met_full: bool,
         now_ms: u64,
     ) -> Forwarding {
         let flow = segment.flow;
         if segment.opens {
-            return match self.found.is_refused(&flow, search, now_ms) {
-                true => Forwarding::Reset(ResetReason::NoTarget),
-                false => Forwarding::Drop(DropReason::LateRefusal),
+            if !self.found.is_refused(&flow, search, now_ms) {
+                return Forwarding::Drop(DropReason::LateRefusal);
+            }
+            return match (met_full, self.found.may_offer_again(&flow, now_ms)) {
+                (true, true) => Forwarding::Wait(WaitReason::AllFull),
+                (true, false) => Forwarding::Reset(ResetReason::AllFull),
+                (false, _) => Forwarding::Reset(ResetReason::NoTarget),
             };
         }
         if search == 0 {
@@ -240,8 +256,9 @@
         }
         if segment.opens {
             let services = self.services(flow);
-            return self.targets.takes_flows(&services, now_ms)
-                || !self.may_take_soon(&services, now_ms);
+            return self.found.is_offer_due(flow, now_ms)
+                && (self.targets.takes_flows(&services, now_ms)
+                    || !self.may_take_soon(&services, now_ms));
         }
         if self.found.holder(flow, now_ms).is_some() {
             return true;
@@ -264,17 +281,21 @@
         let holder = self.found.holder(&flow, now_ms);
         match holder.and_then(|holder| chain.iter().position(|agent| *agent == holder)) {
             Some(position) => chain[..=position].rotate_right(1),
-            // The first copy was not answered: its first agent may be gone.
+            // An earlier offer was not answered or met full targets: others come first.
             None => {
-                let skipped = segment.copy as usize % chain.len();
+                let offers = self.found.offers(&flow) as usize;
+                let skipped = (segment.copy as usize + offers * OFFERED_AGAIN) % chain.len();
                 chain.rotate_left(skipped);
+                if offers > 0 && segment.copy == 0 {
+                    chain.truncate(OFFERED_AGAIN);
+                }
             }
         }
         let first = chain.remove(0);
         self.targets.note_offer(first);
         let search = self.found.begin_opening(flow, now_ms);
         let report_to = Some(self.control);
-        let way = Way { chain, service, report_to, search, hops: 0 };
+        let way = Way { chain, service, report_to, search, ..Way::default() };
         Forwarding::Send(vec![(first, way)])
     }
 
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -61,6 +61,8 @@
     pub search: u32,
     /// The segment.
     pub segment: Vec<u8>,
+    /// Whether a target on the way was full.
+    pub met_full: bool,
 }
 
 /// One control datagram.
@@ -109,6 +111,7 @@
                 agent: pack_address(returned.agent),
                 search: returned.search,
                 segment: returned.segment.clone(),
+                met_full: returned.met_full,
             }),
             NodeMessage::Balancer(state) => Kind::Balancer(balancer_to_wire(state)),
         };
@@ -143,6 +146,7 @@
                 agent: unpack_address(returned.agent)?,
                 search: returned.search,
                 segment: returned.segment,
+                met_full: returned.met_full,
             }),
             Kind::Balancer(state) => NodeMessage::Balancer(balancer_from_wire(state)?),
         })
--- a/src/process/passthrough/way.rs
+++ b/src/process/passthrough/way.rs
@@ -31,6 +31,8 @@
     pub search: u32,
     /// Agents that have passed the segment on.
     pub hops: u32,
+    /// Whether a target on the way was full.
+    pub met_full: bool,
 }
 
 /// Why a datagram between nodes does not parse.
@@ -63,6 +65,7 @@
         report_to: way.report_to.map_or(0, pack_address),
         search: way.search,
         hops: way.hops,
+        met_full: way.met_full,
     };
     let length = u16::try_from(header.encoded_len()).unwrap_or(u16::MAX);
     out.clear();
@@ -100,6 +103,7 @@
         report_to,
         search: header.search,
         hops: header.hops,
+        met_full: header.met_full,
     };
     Ok((way, PREFIX_BYTES + length))
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -288,6 +288,9 @@
     /// Agents that have passed the segment on.
     #[prost(uint32, tag = "6")]
     pub hops: u32,
+    /// Whether an agent on the way has not offered the opening as its target is full.
+    #[prost(bool, tag = "7")]
+    pub met_full: bool,
 }
 /// One datagram between the control sockets of balancers and agents.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -384,6 +387,9 @@
     pub search: u32,
     #[prost(bytes = "vec", tag = "3")]
     pub segment: ::prost::alloc::vec::Vec<u8>,
+    /// Whether a target on the way was full, so that the opening may be offered again.
+    #[prost(bool, tag = "4")]
+    pub met_full: bool,
 }
 /// From balancer to balancer.
 #[derive(Clone, PartialEq, ::prost::Message)]
