--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -12,6 +12,7 @@
 use crate::version::routing::Routing;
 use crate::version::target_table::Liveness;
 use crate::version::target_table::Search;
+use crate::version::target_table::SearchSpread;
 use crate::version::target_table::TargetTable;
 
 /// Agents without an answer that get a copy of a segment whose flow is not found.
@@ -224,7 +225,7 @@
         if self.found.note_not_held(&flow, search) == SearchState::Open {
             return Forwarding::Drop(DropReason::Searching);
         }
-        let search = self.search(&flow, now_ms);
+        let search = self.search(&flow, SearchSpread::Joined, now_ms);
         if segment.resets {
             Forwarding::Drop(DropReason::NothingToReset)
         } else if !self.knows_all_agents || search.has_awaited {
@@ -352,10 +353,10 @@
         self.routing.route(flow.service).is_some_and(|rule| rule.is_idempotent)
     }
 
-    fn search(&self, flow: &FlowKey, now_ms: u64) -> Search {
+    fn search(&self, flow: &FlowKey, spread: SearchSpread, now_ms: u64) -> Search {
         let mut services = self.services(flow);
         services.extend(self.routing.past_services(flow.service));
-        self.targets.search(&services, flow.hash(), now_ms)
+        self.targets.search(&services, flow.hash(), &self.zone, spread, now_ms)
     }
 
     fn search_for(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
@@ -365,7 +366,12 @@
         if self.found.is_held_up(&segment.flow, now_ms) {
             self.targets.suspect_all(now_ms);
         }
-        let mut search = self.search(&segment.flow, now_ms);
+        // Somebody on the way of the first search may be gone, or a whole zone.
+        let spread = match self.found.searches(&segment.flow) {
+            0 => SearchSpread::Joined,
+            _ => SearchSpread::ByZone,
+        };
+        let mut search = self.search(&segment.flow, spread, now_ms);
         // A target behind one that is gone is found from the other end.
         if self.found.searches(&segment.flow) % 2 == 1 {
             search.chains.iter_mut().for_each(|chain| chain.reverse());
