Openings that have waited take free slots only

Cause: after a loss of power the requests that have piled up go first, and the fresh ones behind them are late as well. What has waited is late already; a fresh one can still be answered in time.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -319,6 +319,7 @@
         load: TargetLoad,
         may_pass: bool,
         is_copy: bool,
+        is_late: bool,
         now_ms: u64,
     ) -> Result<(), Refused> {
         let life = self.life.as_ref().ok_or(Refused::TargetSilent)?;
@@ -340,7 +341,8 @@
             return Err(Refused::Flows);
         }
         let busy_percent = u64::from(load.busy) * 100 / u64::from(life.report.slots.max(1));
-        if !is_copy && busy_percent >= FULL_PERCENT {
+        let full_percent = if is_late { BUSY_PERCENT } else { FULL_PERCENT };
+        if !is_copy && busy_percent >= full_percent {
             return Err(Refused::Full);
         }
         if !is_copy && busy_percent >= BUSY_PERCENT && may_pass {
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -203,7 +203,7 @@
         let load = TargetLoad { flows: self.flows.open(), busy: self.flows.busy() };
         let is_copy = self.flows.holding(&segment.flow) != Holding::Unknown;
         let may_pass = !way.chain.is_empty();
-        match self.gate.admit(&way.service, load, may_pass, is_copy, now_ms) {
+        match self.gate.admit(&way.service, load, may_pass, is_copy, way.is_late, now_ms) {
             Ok(()) => {
                 self.flows.note_to_target(segment, now_ms);
                 if let Some(balancer) = way.report_to {
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -296,7 +296,8 @@
         self.targets.note_offer(first);
         let search = self.found.begin_opening(flow, now_ms);
         let report_to = Some(self.control);
-        let way = Way { chain, service, report_to, search, ..Way::default() };
+        let is_late = segment.copy > 0 || self.found.offers(&flow) > 1;
+        let way = Way { chain, service, report_to, search, is_late, ..Way::default() };
         Forwarding::Send(vec![(first, way)])
     }
 
--- a/src/process/passthrough/way.rs
+++ b/src/process/passthrough/way.rs
@@ -33,6 +33,8 @@
     pub hops: u32,
     /// Whether a target on the way was full.
     pub met_full: bool,
+    /// Whether the caller of an opening has waited already.
+    pub is_late: bool,
 }
 
 /// Why a datagram between nodes does not parse.
@@ -66,6 +68,7 @@
         search: way.search,
         hops: way.hops,
         met_full: way.met_full,
+        late: way.is_late,
     };
     let length = u16::try_from(header.encoded_len()).unwrap_or(u16::MAX);
     out.clear();
@@ -104,6 +107,7 @@
         search: header.search,
         hops: header.hops,
         met_full: header.met_full,
+        is_late: header.late,
     };
     Ok((way, PREFIX_BYTES + length))
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -291,6 +291,9 @@
     /// Whether an agent on the way has not offered the opening as its target is full.
     #[prost(bool, tag = "7")]
     pub met_full: bool,
+    /// Whether the caller of an opening has waited already.
+    #[prost(bool, tag = "8")]
+    pub late: bool,
 }
 /// One datagram between the control sockets of balancers and agents.
 #[derive(Clone, PartialEq, ::prost::Message)]
