--- a/src/process/passthrough/agent_introduction.rs
+++ b/src/process/passthrough/agent_introduction.rs
@@ -17,9 +17,9 @@
 use crate::process::retry::until_done;
 use crate::process::store::StoreError;
 
-/// Time between two rounds of telling balancers that may not know of this agent: a third of the time
+/// Time between two rounds of telling balancers that may not know of this agent: a quarter of the time
 /// that they have.
-const INTRODUCTION_PAUSE: Duration = Duration::from_millis(80);
+const INTRODUCTION_PAUSE: Duration = Duration::from_millis(40);
 
 /// Writes the agent's entry, and then tells the balancers that may not know of it yet.
 pub(super) async fn register(shared: Arc<Shared>) {
