--- a/src/process/passthrough/balancer_forwarding.rs
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -82,10 +82,11 @@
     match forwarding {
         Forwarding::Send(ways) => send_along(shared, &ways, datagram, out).await,
         Forwarding::SendAndWait(ways) => {
+            wait(shared, segment, datagram, WaitReason::NotAllAnswered);
 
             send_along(shared, &ways, datagram, out).await;
         }
-        Forwarding::Wait(WaitReason::NotAllAnswered) => {}
+
         Forwarding::Wait(reason) => wait(shared, segment, datagram, reason),
         Forwarding::Reset(reason) => reset(shared, segment, reason).await,
         Forwarding::Drop(DropReason::Searching) => {
