--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -44,6 +44,8 @@
     offered_ms: u64,
     first_offered_ms: u64,
     offers: u32,
+    /// Offers that have not come back.
+    offers_out: u32,
 }
 
 /// Time after which a search counts as held up, in milliseconds: a chain takes a few milliseconds, and
@@ -176,6 +178,7 @@
         entry.search = search;
         entry.offered_ms = now_ms;
         entry.offers += 1;
+        entry.offers_out += 1;
         search
     }
 
@@ -193,18 +196,25 @@
 
     /// Whether the last offer of a flow's opening is so old that the next one may be made.
     pub fn is_offer_due(&self, flow: &FlowKey, now_ms: u64) -> bool {
-        self.entries.get(flow).is_none_or(|entry| {
-            now_ms.saturating_sub(entry.offered_ms) >= OFFER_INTERVAL_MS
-        })
+        self.entries
+            .get(flow)
+            .is_none_or(|entry| now_ms.saturating_sub(entry.offered_ms) >= OFFER_INTERVAL_MS)
     }
 
-    /// Whether nobody has taken the flow, and its opening was offered so shortly ago that its caller
-    /// has sent no copy, which others may take.
-    pub fn is_refused(&self, flow: &FlowKey, search: u32, now_ms: u64) -> bool {
+    /// Notes that an offer has come back. Says whether it is the newest and nobody has taken the flow.
+    pub fn note_offer_refused(&mut self, flow: &FlowKey, search: u32) -> bool {
+        let Some(entry) = self.entries.get_mut(flow) else {
+            return false;
+        };
+        entry.offers_out = entry.offers_out.saturating_sub(1);
+        entry.search == search && entry.holder.is_none()
+    }
+
+    /// Whether no agent may still take the flow: all offers have come back, the last so soon that its
+    /// caller has sent no copy since, which another balancer may have got.
+    pub fn is_refused(&self, flow: &FlowKey, now_ms: u64) -> bool {
         self.entries.get(flow).is_some_and(|entry| {
-            entry.search == search
-                && entry.holder.is_none()
-                && now_ms.saturating_sub(entry.offered_ms) <= REFUSAL_MS
+            entry.offers_out == 0 && now_ms.saturating_sub(entry.offered_ms) <= REFUSAL_MS
         })
     }
 
@@ -247,6 +257,7 @@
             offered_ms: 0,
             first_offered_ms: 0,
             offers: 0,
+            offers_out: 0,
         };
         let entry = self.entries.entry(flow).or_insert(fresh);
         entry.used_ms = now_ms;
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -78,6 +78,19 @@
     pub max_flows: u32,
 }
 
+/// An opening that is offered to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Offer<'a> {
+    /// Service that it opens a flow of.
+    pub service: &'a str,
+    /// Whether other targets are left to try.
+    pub may_pass: bool,
+    /// Whether the target has been offered this flow before.
+    pub is_copy: bool,
+    /// Whether its caller has waited already.
+    pub is_late: bool,
+}
+
 /// Load of the target at the moment of an opening.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TargetLoad {
@@ -311,15 +324,16 @@
         }
     }
 
-    /// Decides on a segment that opens a flow of `service`. `may_pass` says that other targets are
-    /// left to try; `is_copy` that the target has been offered this flow before.
+    /// Decides on a segment that opens a flow.
+    ///
+    /// The load that it answers: more openings than the targets bear, as when everybody comes back after a
+    /// loss of power. A full target takes none, so that they stay with the balancers, which can offer them
+    /// to whoever gets free first; and whoever has waited already leaves what is free to fresh openings,
+    /// which can still be answered in time.
     pub fn admit(
         &mut self,
-        service: &str,
+        offer: &Offer<'_>,
         load: TargetLoad,
-        may_pass: bool,
-        is_copy: bool,
-        is_late: bool,
         now_ms: u64,
     ) -> Result<(), Refused> {
         let life = self.life.as_ref().ok_or(Refused::TargetSilent)?;
@@ -329,26 +343,19 @@
         if !self.is_trusted(life, now_ms) {
             return Err(Refused::TargetSilent);
         }
-        if life.report.service != service {
+        if life.report.service != offer.service {
             return Err(Refused::OtherService);
         }
         if self.is_zone_out {
             return Err(Refused::ZoneOut);
         }
-        let limits = self.limits.as_ref().filter(|(name, _)| name == service);
+        let is_cold = life.cold_until_ms > now_ms;
+        let limits = self.limits.as_ref().filter(|(name, _)| name == offer.service);
         let limits = limits.map(|(_, limits)| *limits);
-        if !is_copy && limits.is_some_and(|limits| load.flows >= limits.max_flows) {
-            return Err(Refused::Flows);
-        }
-        let busy_percent = u64::from(load.busy) * 100 / u64::from(life.report.slots.max(1));
-        let full_percent = if is_late { BUSY_PERCENT } else { FULL_PERCENT };
-        if !is_copy && busy_percent >= full_percent {
-            return Err(Refused::Full);
-        }
-        if !is_copy && busy_percent >= BUSY_PERCENT && may_pass {
-            return Err(Refused::Busy);
+        if !offer.is_copy {
+            check_load(offer, load, life.report.slots, limits)?;
         }
-        if life.cold_until_ms > now_ms { self.admit_cold(limits, now_ms) } else { Ok(()) }
+        if is_cold { self.admit_cold(limits, now_ms) } else { Ok(()) }
     }
 
     fn admit_cold(&mut self, limits: Option<GateLimits>, now_ms: u64) -> Result<(), Refused> {
@@ -383,6 +390,27 @@
     }
 }
 
+/// Whether the target bears one more flow.
+fn check_load(
+    offer: &Offer<'_>,
+    load: TargetLoad,
+    slots: u32,
+    limits: Option<GateLimits>,
+) -> Result<(), Refused> {
+    if limits.is_some_and(|limits| load.flows >= limits.max_flows) {
+        return Err(Refused::Flows);
+    }
+    let busy_percent = u64::from(load.busy) * 100 / u64::from(slots.max(1));
+    let full_percent = if offer.is_late { BUSY_PERCENT } else { FULL_PERCENT };
+    if busy_percent >= full_percent {
+        return Err(Refused::Full);
+    }
+    if busy_percent >= BUSY_PERCENT && offer.may_pass {
+        return Err(Refused::Busy);
+    }
+    Ok(())
+}
+
 fn is_same_life(held: &TargetReport, fresh: &TargetReport) -> bool {
     held.id == fresh.id && held.started_ms == fresh.started_ms
 }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -8,6 +8,7 @@
 use crate::connection::held_flows::HeldFlows;
 use crate::connection::held_flows::Holding;
 use crate::connection::segment::Segment;
+use crate::connection::target_gate::Offer;
 use crate::connection::target_gate::Refused;
 use crate::connection::target_gate::TargetGate;
 use crate::connection::target_gate::TargetLoad;
@@ -201,9 +202,13 @@
         }
         self.flows.expire_expected(now_ms);
         let load = TargetLoad { flows: self.flows.open(), busy: self.flows.busy() };
-        let is_copy = self.flows.holding(&segment.flow) != Holding::Unknown;
-        let may_pass = !way.chain.is_empty();
-        match self.gate.admit(&way.service, load, may_pass, is_copy, way.is_late, now_ms) {
+        let offer = Offer {
+            service: &way.service,
+            may_pass: !way.chain.is_empty(),
+            is_copy: self.flows.holding(&segment.flow) != Holding::Unknown,
+            is_late: way.is_late,
+        };
+        match self.gate.admit(&offer, load, now_ms) {
             Ok(()) => {
                 self.flows.note_to_target(segment, now_ms);
                 if let Some(balancer) = way.report_to {
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -12,7 +12,6 @@
 use crate::version::routing::Routing;
 use crate::version::target_table::Liveness;
 use crate::version::target_table::Search;
-use crate::version::target_table::SearchSpread;
 use crate::version::target_table::TargetTable;
 
 /// Agents without an answer that get a copy of a segment whose flow is not found.
@@ -207,14 +206,7 @@
     ) -> Forwarding {
         let flow = segment.flow;
         if segment.opens {
-            if !self.found.is_refused(&flow, search, now_ms) {
-                return Forwarding::Drop(DropReason::LateRefusal);
-            }
-            return match (met_full, self.found.may_offer_again(&flow, now_ms)) {
-                (true, true) => Forwarding::Wait(WaitReason::AllFull),
-                (true, false) => Forwarding::Reset(ResetReason::AllFull),
-                (false, _) => Forwarding::Reset(ResetReason::NoTarget),
-            };
+            return self.refuse_opening(&flow, search, met_full, now_ms);
         }
         if search == 0 {
             if self.found.holder(&flow, now_ms) == Some(agent) {
@@ -225,7 +217,7 @@
         if self.found.note_not_held(&flow, search) == SearchState::Open {
             return Forwarding::Drop(DropReason::Searching);
         }
-        let search = self.search(&flow, SearchSpread::Joined, now_ms);
+        let search = self.search(&flow, now_ms);
         if segment.resets {
             Forwarding::Drop(DropReason::NothingToReset)
         } else if !self.knows_all_agents || search.has_awaited {
@@ -238,6 +230,30 @@
         }
     }
 
+    /// Decides on an opening that the agents of one offer have refused.
+    ///
+    /// The load that it answers: more openings than the targets bear for a moment. They are offered again
+    /// for as long as an answer can be in time; then the caller is told.
+    fn refuse_opening(
+        &mut self,
+        flow: &FlowKey,
+        search: u32,
+        met_full: bool,
+        now_ms: u64,
+    ) -> Forwarding {
+        if !self.found.note_offer_refused(flow, search) {
+            return Forwarding::Drop(DropReason::LateRefusal);
+        }
+        if met_full && self.found.may_offer_again(flow, now_ms) {
+            return Forwarding::Wait(WaitReason::AllFull);
+        }
+        match (self.found.is_refused(flow, now_ms), met_full) {
+            (false, _) => Forwarding::Drop(DropReason::LateRefusal),
+            (true, true) => Forwarding::Reset(ResetReason::AllFull),
+            (true, false) => Forwarding::Reset(ResetReason::NoTarget),
+        }
+    }
+
     /// Takes segments that have waited and can be decided on now, of at most `most` flows.
     pub fn take_due(&mut self, most: usize, now_ms: u64) -> Vec<WaitingSegment> {
         if self.waiting.is_empty() || !self.routing.is_configured() {
@@ -266,7 +282,10 @@
         }
         match self.found.is_under_way(flow, now_ms) {
             true => false,
-            false => all_answer || self.found.is_held_up(flow, now_ms) && self.found.may_search(flow, now_ms),
+            false => {
+                all_answer
+                    || self.found.is_held_up(flow, now_ms) && self.found.may_search(flow, now_ms)
+            }
         }
     }
 
@@ -284,8 +303,8 @@
             Some(position) => chain[..=position].rotate_right(1),
             // An earlier offer was not answered or met full targets: others come first.
             None => {
-                let offers = self.found.offers(&flow) as usize;
-                let skipped = (segment.copy as usize + offers * OFFERED_AGAIN) % chain.len();
+                let offers = self.found.offers(&flow);
+                let skipped = segment.copy.max(offers) as usize % chain.len();
                 chain.rotate_left(skipped);
                 if offers > 0 && segment.copy == 0 {
                     chain.truncate(OFFERED_AGAIN);
@@ -354,10 +373,10 @@
         self.routing.route(flow.service).is_some_and(|rule| rule.is_idempotent)
     }
 
-    fn search(&self, flow: &FlowKey, spread: SearchSpread, now_ms: u64) -> Search {
+    fn search(&self, flow: &FlowKey, now_ms: u64) -> Search {
         let mut services = self.services(flow);
         services.extend(self.routing.past_services(flow.service));
-        self.targets.search(&services, flow.hash(), &self.zone, spread, now_ms)
+        self.targets.search(&services, flow.hash(), now_ms)
     }
 
     fn search_for(&mut self, segment: &Segment, now_ms: u64) -> Forwarding {
@@ -367,12 +386,7 @@
         if self.found.is_held_up(&segment.flow, now_ms) {
             self.targets.suspect_all(now_ms);
         }
-        // Somebody on the way of the first search may be gone, or a whole zone.
-        let spread = match self.found.searches(&segment.flow) {
-            0 => SearchSpread::Joined,
-            _ => SearchSpread::ByZone,
-        };
-        let mut search = self.search(&segment.flow, spread, now_ms);
+        let mut search = self.search(&segment.flow, now_ms);
         // A target behind one that is gone is found from the other end.
         if self.found.searches(&segment.flow) % 2 == 1 {
             search.chains.iter_mut().for_each(|chain| chain.reverse());
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -118,7 +118,8 @@
 /// Where a segment of a flow that is not found is sent.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Search {
-    /// Agents that are alive, the likeliest of each zone first.
+    /// Agents that are alive, a chain for each zone, the likeliest first. A zone that cannot be
+    /// reached holds up no other, and each segment crosses to it once.
     pub chains: Vec<Vec<SocketAddrV4>>,
     /// Agents that may hold the flow and do not answer; each gets a copy.
     pub unanswering: Vec<SocketAddrV4>,
@@ -126,15 +127,6 @@
     pub has_awaited: bool,
 }
 
-/// How far the chains of a search go.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SearchSpread {
-    /// One chain through all zones: the fewest datagrams.
-    Joined,
-    /// One chain a zone: a zone that cannot be reached holds up no other.
-    ByZone,
-}
-
 /// The targets that a balancer knows, by their agents' data addresses.
 #[derive(Debug, Default)]
 pub struct TargetTable {
@@ -336,15 +328,7 @@
     }
 
     /// All agents that may hold a flow of these services, in the order of the services; others last.
-    /// The home zone comes first.
-    pub fn search(
-        &self,
-        services: &[&str],
-        flow_hash: u64,
-        home_zone: &str,
-        spread: SearchSpread,
-        now_ms: u64,
-    ) -> Search {
+    pub fn search(&self, services: &[&str], flow_hash: u64, now_ms: u64) -> Search {
         let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
             let status = entry.status.as_ref();
@@ -368,13 +352,7 @@
             }
             search.has_awaited |= liveness == Liveness::Awaited;
         }
-        let home = chains.shift_remove(home_zone);
-        let by_zone = home.into_iter().chain(chains.into_values());
-        let chains: Vec<Vec<SocketAddrV4>> = match spread {
-            SearchSpread::ByZone => by_zone.collect(),
-            SearchSpread::Joined => vec![by_zone.flatten().collect()],
-        };
-        let parts = chains.iter().flat_map(|chain| chain.chunks(MAX_CHAIN));
+        let parts = chains.values().flat_map(|chain| chain.chunks(MAX_CHAIN));
         search.chains = parts.map(<[SocketAddrV4]>::to_vec).collect();
         search
     }
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -10,6 +10,7 @@
 use rhubarbthread::process::events::Event;
 use rhubarbthread::process::passthrough::balancer_state::DropReason;
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
+use rhubarbthread::process::passthrough::balancer_state::WaitReason;
 use rhubarbthread::request::verdict::Refusal;
 use rhubarbthread::version::table::Drop;
 
@@ -105,7 +106,8 @@
         let refused = Refused::ALL.iter().map(|reason| reason.as_str());
         let dropped = DropReason::ALL.iter().map(|reason| reason.as_str());
         let resets = ResetReason::ALL.iter().map(|reason| reason.as_str());
-        for reason in refused.chain(dropped).chain(resets) {
+        let waits = WaitReason::ALL.iter().map(|reason| reason.as_str());
+        for reason in refused.chain(dropped).chain(resets).chain(waits) {
             assert!(page.contains(&format!("`{reason}`")), "docs/OPERATIONS.md misses {reason}");
         }
     };
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -13,6 +13,7 @@
 use rhubarbthread::process::passthrough::balancer_state::DropReason;
 use rhubarbthread::process::passthrough::balancer_state::Forwarding;
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
+use rhubarbthread::process::passthrough::balancer_state::WaitReason;
 use rhubarbthread::version::balancer_table::BalancerNews;
 use rhubarbthread::version::balancer_table::BalancerTable;
 use rhubarbthread::version::balancer_table::KEEPERS;
@@ -94,7 +95,7 @@
 
 fn ways(forwarding: Forwarding) -> Vec<Vec<SocketAddrV4>> {
     match forwarding {
-        Forwarding::Send(ways) => ways
+        Forwarding::Send(ways) | Forwarding::SendAndWait(ways) => ways
             .into_iter()
             .map(|(first, way)| std::iter::once(first).chain(way.chain).collect())
             .collect(),
@@ -104,7 +105,7 @@
 
 fn searches(forwarding: &Forwarding) -> Vec<(SocketAddrV4, u32)> {
     match forwarding {
-        Forwarding::Send(ways) => ways
+        Forwarding::Send(ways) | Forwarding::SendAndWait(ways) => ways
             .iter()
             .map(|(first, way)| (*way.chain.last().unwrap_or(first), way.search))
             .collect(),
@@ -118,7 +119,7 @@
     let searches = searches(&forwarding);
     let mut last = forwarding;
     for (agent, search) in searches.into_iter().filter(|(_, search)| *search != u32::MAX) {
-        last = balancer.take_back(segment, agent, search, now_ms);
+        last = balancer.take_back(segment, agent, search, false, now_ms);
     }
     last
 }
@@ -155,7 +156,7 @@
     without_a_configuration_nothing_is_decided: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 0);
-        assert_eq!(forwarding, Forwarding::Drop(DropReason::NoConfiguration));
+        assert_eq!(forwarding, Forwarding::Wait(WaitReason::NoConfiguration));
     };
     an_unknown_route_is_refused_at_once: {
         let forwarding = balancer().forward(&opening(9999, 1), 1);
@@ -212,7 +213,7 @@
         let mut balancer = balancer();
         let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
         let (last, search) = searches(&forwarding)[0];
-        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, 20);
+        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, false, 20);
         assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoTarget));
     };
     a_late_refusal_ends_no_flow_that_a_copy_has_opened: {
@@ -220,7 +221,7 @@
         let mut balancer = balancer();
         let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
         let (last, search) = searches(&forwarding)[0];
-        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, 213);
+        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, false, 213);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::LateRefusal));
     };
     a_refusal_of_an_earlier_copy_ends_no_flow: {
@@ -228,7 +229,7 @@
         let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
         let (last, search) = searches(&forwarding)[0];
         balancer.forward(&Segment { copy: 1, ..opening(IDEMPOTENT, 1) }, 100);
-        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, 101);
+        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, false, 101);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::LateRefusal));
     };
     nobody_who_takes_flows_is_a_refusal_at_once: {
@@ -242,7 +243,7 @@
         balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
         balancer.targets.learn(agent(11), address(11, 7720), "a", 0);
         let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
-        assert_eq!(forwarding, Forwarding::Drop(DropReason::NoTargetYet));
+        assert_eq!(forwarding, Forwarding::Wait(WaitReason::NoTargetYet));
     };
     a_found_flow_goes_straight_to_its_agent: {
         let mut balancer = balancer();
@@ -304,7 +305,7 @@
         balancer.knows_all_agents = false;
         for route in [ONCE, IDEMPOTENT] {
             let forwarding = give_all_back(&mut balancer, &segment_of(route, 1), 1);
-            assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
+            assert_eq!(forwarding, Forwarding::Wait(WaitReason::NotAllAnswered), "route {route}");
         }
     };
     a_change_of_an_agent_is_told_by_its_keepers: {
@@ -352,10 +353,10 @@
         let mut balancer = balancer();
         let forwarding = balancer.forward(&segment_of(ONCE, 1), 1);
         let (agent, search) = searches(&forwarding)[0];
-        let forwarding = balancer.take_back(&segment_of(ONCE, 1), agent, search, 2);
+        let forwarding = balancer.take_back(&segment_of(ONCE, 1), agent, search, false, 2);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::Searching));
         // The same chain again proves no more.
-        let forwarding = balancer.take_back(&segment_of(ONCE, 1), agent, search + 7, 3);
+        let forwarding = balancer.take_back(&segment_of(ONCE, 1), agent, search + 7, false, 3);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::Searching));
     };
     an_agent_that_stops_for_a_moment_proves_nothing: {
@@ -365,7 +366,7 @@
         balancer.targets.update(stopping, 0, 1);
         for route in [ONCE, IDEMPOTENT] {
             let forwarding = give_all_back(&mut balancer, &segment_of(route, 1), 2);
-            assert_eq!(forwarding, Forwarding::Drop(DropReason::NotProved), "route {route}");
+            assert_eq!(forwarding, Forwarding::Wait(WaitReason::NotAllAnswered), "route {route}");
         }
         assert_eq!(balancer.targets.liveness(agent(22), HOLD_MS), Some(Liveness::Awaited));
     };
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -10,6 +10,7 @@
 use rhubarbthread::connection::held_flows::Holding;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::GateLimits;
+use rhubarbthread::connection::target_gate::Offer;
 use rhubarbthread::connection::target_gate::Refused;
 use rhubarbthread::connection::target_gate::ReportOutcome;
 use rhubarbthread::connection::target_gate::TargetGate;
@@ -27,6 +28,8 @@
 /// Time after which an address is used by another service, less a tenth, in milliseconds.
 const SILENCE_MS: u64 = 1_800;
 const NO_LOAD: TargetLoad = TargetLoad { flows: 0, busy: 0 };
+const OFFER: Offer<'static> =
+    Offer { service: "vypocet", may_pass: true, is_copy: false, is_late: false };
 
 fn report(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
     TargetReport {
@@ -47,7 +50,7 @@
 }
 
 fn admit(gate: &mut TargetGate, now_ms: u64) -> Result<(), Refused> {
-    gate.admit("vypocet", NO_LOAD, true, false, now_ms)
+    gate.admit(&OFFER, NO_LOAD, now_ms)
 }
 
 fn segment(port: u16) -> Segment {
@@ -64,7 +67,7 @@
         service: "vypocet".to_owned(),
         report_to: Some(address(9, 7720)),
         search,
-        hops: 0,
+        ..Way::default()
     }
 }
 
@@ -102,7 +105,7 @@
 }
 
 fn given_back(search: u32) -> Step {
-    Step::GiveBack { balancer: address(9, 7720), search, refused: None }
+    Step::GiveBack { balancer: address(9, 7720), search, met_full: false, refused: None }
 }
 
 fn refusal_of(step: &Step) -> Option<Refused> {
@@ -131,7 +134,7 @@
     };
     a_flow_of_another_service_is_not_taken: {
         let mut gate = gate();
-        let refused = gate.admit("zpravy", NO_LOAD, true, false, 1);
+        let refused = gate.admit(&Offer { service: "zpravy", ..OFFER }, NO_LOAD, 1);
         assert_eq!(refused, Err(Refused::OtherService));
     };
     a_leaving_target_takes_no_flow: {
@@ -192,7 +195,7 @@
         let mut taken_ms = Vec::new();
         for now_ms in (0..1_700).step_by(7) {
             // Copies count as well.
-            if gate.admit("vypocet", NO_LOAD, true, now_ms % 2 == 0, now_ms).is_ok() {
+            if gate.admit(&Offer { is_copy: now_ms % 2 == 0, ..OFFER }, NO_LOAD, now_ms).is_ok() {
                 taken_ms.push(now_ms);
             }
         }
@@ -212,8 +215,57 @@
     busy_slots_pass_an_opening_on_only_while_others_are_left: {
         let mut gate = gate();
         let full = TargetLoad { flows: 9, busy: 4 };
-        assert_eq!(gate.admit("vypocet", full, true, false, 1), Err(Refused::Busy));
-        assert_eq!(gate.admit("vypocet", full, false, false, 1), Ok(()));
+        assert_eq!(gate.admit(&OFFER, full, 1), Err(Refused::Busy));
+        assert_eq!(gate.admit(&Offer { may_pass: false, ..OFFER }, full, 1), Ok(()));
+    };
+    a_full_target_takes_no_opening_even_as_the_last: {
+        // After a loss of power the first target that was back took 91 openings for its nine slots.
+        let mut gate = gate();
+        let last = Offer { may_pass: false, ..OFFER };
+        assert_eq!(gate.admit(&last, TargetLoad { flows: 9, busy: 7 }, 1), Ok(()));
+        assert_eq!(gate.admit(&last, TargetLoad { flows: 9, busy: 8 }, 1), Err(Refused::Full));
+        // The target holds it already, and its caller has only not heard of it.
+        let copy = Offer { is_copy: true, ..last };
+        assert_eq!(gate.admit(&copy, TargetLoad { flows: 9, busy: 8 }, 1), Ok(()));
+    };
+    who_has_waited_takes_free_slots_only: {
+        let mut gate = gate();
+        let late = Offer { may_pass: false, is_late: true, ..OFFER };
+        assert_eq!(gate.admit(&late, TargetLoad { flows: 9, busy: 3 }, 1), Ok(()));
+        assert_eq!(gate.admit(&late, TargetLoad { flows: 9, busy: 4 }, 1), Err(Refused::Full));
+    };
+    a_flow_that_opens_counts_as_busy_until_its_request_is_answered_or_does_not_come: {
+        let mut flows = HeldFlows::new();
+        flows.note_to_target(&opening(1), 0);
+        flows.note_to_target(&opening(2), 0);
+        flows.note_to_target(&opening(2), 60);
+        assert_eq!(flows.busy(), 2);
+        flows.note_to_target(&Segment { payload_bytes: 50, ..segment(1) }, 10);
+        assert_eq!(flows.busy(), 2);
+        flows.note_from_target(&Segment { payload_bytes: 900, ..segment(1) }, 20);
+        assert_eq!(flows.busy(), 1);
+        flows.expire_expected(99);
+        assert_eq!(flows.busy(), 1);
+        flows.expire_expected(100);
+        assert_eq!(flows.busy(), 0);
+        flows.forget(&opening(2).flow);
+        assert_eq!((flows.busy(), flows.open()), (0, 1));
+    };
+    openings_in_a_burst_go_on_to_the_next_agent: {
+        let mut agent = agent();
+        let taken = |agent: &mut AgentState, port| {
+            let step = agent.from_node(&opening(port), way(&[address(2, 8172)], 7), 1);
+            matches!(step, Step::GiveToTarget { .. })
+        };
+        assert_eq!((1..=40).filter(|port| taken(&mut agent, *port)).count(), 4);
+    };
+    that_a_target_was_full_is_told_at_the_end_of_the_chain: {
+        let mut agent = agent();
+        let full = Way { met_full: true, ..way(&[], 7) };
+        let silent = agent.from_node(&opening(1), full, 5_000);
+        assert!(matches!(silent, Step::GiveBack { met_full: true, .. }), "{silent:?}");
+        let silent = agent.from_node(&opening(1), way(&[], 7), 5_000);
+        assert!(matches!(silent, Step::GiveBack { met_full: false, .. }), "{silent:?}");
     };
     after_a_stall_the_target_must_report_first: {
         let mut gate = gate();
@@ -287,8 +339,8 @@
     };
     a_balancer_that_does_not_answer_holds_an_agent_up_for_a_moment_only: {
         let mut agent = fresh_agent(&[address(9, 7720)]);
-        assert_eq!(agent.phase(249), TargetPhase::Introducing);
-        assert_eq!(agent.phase(250), TargetPhase::Serving);
+        assert_eq!(agent.phase(159), TargetPhase::Introducing);
+        assert_eq!(agent.phase(160), TargetPhase::Serving);
     };
     an_agent_without_balancers_is_found_in_the_store: {
         let mut agent = fresh_agent(&[]);
--- /dev/null
+++ b/tests/passthrough_waiting.rs
@@ -0,0 +1,239 @@
+//! Passed-through flows: segments that come before a balancer can decide on them, and openings that meet
+//! only full targets.
+
+#[macro_use]
+mod support;
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use rhubarbthread::connection::segment::Segment;
+use rhubarbthread::connection::target_gate::TargetPhase;
+use rhubarbthread::connection::waiting_segments::MAX_OF_FLOW;
+use rhubarbthread::connection::waiting_segments::MAX_WAITING;
+use rhubarbthread::connection::waiting_segments::WaitingSegments;
+use rhubarbthread::process::passthrough::balancer_state::BalancerState;
+use rhubarbthread::process::passthrough::balancer_state::DropReason;
+use rhubarbthread::process::passthrough::balancer_state::Forwarding;
+use rhubarbthread::process::passthrough::balancer_state::ResetReason;
+use rhubarbthread::process::passthrough::balancer_state::WaitReason;
+use rhubarbthread::version::routing::Configuration;
+use rhubarbthread::version::routing::RouteRule;
+use rhubarbthread::version::routing::WeightedService;
+use rhubarbthread::version::target_table::TargetStatus;
+
+use crate::support::passthrough::address;
+use crate::support::passthrough::segment_of;
+
+const ROUTE: u16 = 443;
+
+fn agent(last: u8) -> SocketAddrV4 {
+    address(last, 8172)
+}
+
+fn segment(port: u16) -> Segment {
+    segment_of(ROUTE, port)
+}
+
+fn opening(port: u16) -> Segment {
+    Segment { opens: true, ..segment(port) }
+}
+
+fn status(last: u8, phase: TargetPhase, sequence: u64) -> TargetStatus {
+    TargetStatus {
+        data: agent(last),
+        control: address(last, 7720),
+        lifetime: u64::from(last),
+        sequence,
+        zone: "a".to_owned(),
+        service: "vypocet".to_owned(),
+        phase,
+        slots: 4,
+        flows: 0,
+        busy: 0,
+        is_stopping: false,
+    }
+}
+
+fn configuration() -> Configuration {
+    let services = vec![WeightedService { service: "vypocet".to_owned(), weight: 1 }];
+    let rule = RouteRule { name: "vypocet".to_owned(), services, is_idempotent: false };
+    Configuration {
+        version: 1,
+        routes: IndexMap::from([(address(200, ROUTE), rule)]),
+        services: IndexMap::new(),
+        idle_timeout_ms: 15_000,
+    }
+}
+
+/// A balancer with a configuration and these agents, whose targets are in this phase.
+fn balancer(agents: &[u8], phase: TargetPhase) -> BalancerState {
+    let mut balancer = BalancerState::new("a", address(100, 7720));
+    balancer.knows_all_agents = true;
+    balancer.routing.apply_configuration(configuration(), 10);
+    for last in agents {
+        balancer.targets.update(status(*last, phase, 1), 0, 0);
+    }
+    balancer
+}
+
+/// The agent at the end of the only chain, and the number of the search or the offer.
+fn end_of(forwarding: &Forwarding) -> (SocketAddrV4, u32) {
+    match forwarding {
+        Forwarding::Send(ways) if ways.len() == 1 => {
+            let (first, way) = &ways[0];
+            (*way.chain.last().unwrap_or(first), way.search)
+        }
+        other => panic!("it is sent along one chain, not {other:?}"),
+    }
+}
+
+fn wait(balancer: &mut BalancerState, segment: &Segment, now_ms: u64) {
+    assert!(balancer.waiting.put(*segment, &[1, 2, 3], now_ms));
+}
+
+fn due(balancer: &mut BalancerState, now_ms: u64) -> Vec<Segment> {
+    balancer.take_due(64, now_ms).into_iter().map(|waiting| waiting.segment).collect()
+}
+
+fn offer(balancer: &mut BalancerState, now_ms: u64) -> (SocketAddrV4, u32) {
+    end_of(&balancer.forward(&opening(1), now_ms))
+}
+
+fn refuse_as_full(
+    balancer: &mut BalancerState,
+    (agent, search): (SocketAddrV4, u32),
+    now_ms: u64,
+) -> Forwarding {
+    balancer.take_back(&opening(1), agent, search, true, now_ms)
+}
+
+cases! {
+    a_copy_takes_the_place_of_what_waits: {
+        let mut waiting = WaitingSegments::new();
+        assert!(waiting.put(opening(1), &[1], 0));
+        assert!(waiting.put(Segment { copy: 1, ..opening(1) }, &[2], 200));
+        assert!(waiting.put(segment(2), &[3], 200));
+        assert!(waiting.put(segment(2), &[4], 400));
+        assert!(waiting.put(Segment { sequence: 900, ..segment(2) }, &[5], 400));
+        let bytes = |port, waiting: &mut WaitingSegments| {
+            let taken = waiting.take_flow(&segment(port).flow).into_iter();
+            taken.flat_map(|held| held.datagram).collect::<Vec<_>>()
+        };
+        assert_eq!((bytes(1, &mut waiting), bytes(2, &mut waiting)), (vec![2], vec![4, 5]));
+        assert!(waiting.is_empty());
+    };
+    what_waits_is_bounded: {
+        let mut waiting = WaitingSegments::new();
+        let put = |waiting: &mut WaitingSegments, port, sequence| {
+            waiting.put(Segment { sequence, ..segment(port) }, &[1], 0)
+        };
+        let of_one = (0..100).filter(|sequence| put(&mut waiting, 1, *sequence)).count();
+        assert_eq!(of_one, MAX_OF_FLOW);
+        (2..10_000).for_each(|port| { put(&mut waiting, port, 0); });
+        assert_eq!(waiting.len(), MAX_WAITING);
+        assert_eq!(waiting.expire(1_600), MAX_WAITING);
+        assert!(put(&mut waiting, 1, 0));
+    };
+    nothing_waits_longer_than_its_caller_takes_to_send_again: {
+        let mut waiting = WaitingSegments::new();
+        waiting.put(opening(1), &[1], 0);
+        waiting.put(segment(2), &[1], 0);
+        assert_eq!((waiting.expire(399), waiting.expire(400)), (0, 1));
+        assert_eq!((waiting.expire(1_599), waiting.expire(1_600)), (0, 1));
+    };
+    what_came_before_the_configuration_is_due_with_it: {
+        let mut balancer = BalancerState::new("a", address(100, 7720));
+        assert_eq!(balancer.forward(&opening(1), 0), Forwarding::Wait(WaitReason::NoConfiguration));
+        wait(&mut balancer, &opening(1), 0);
+        assert_eq!(due(&mut balancer, 1), []);
+        balancer.routing.apply_configuration(configuration(), 10);
+        balancer.targets.update(status(1, TargetPhase::Serving, 1), 0, 1);
+        assert_eq!(due(&mut balancer, 2), [opening(1)]);
+    };
+    an_opening_waits_for_a_target_that_is_about_to_take_flows: {
+        // Openings were refused for 0.25 s after a loss of power, until callers had no try left.
+        let mut balancer = balancer(&[1], TargetPhase::Introducing);
+        assert_eq!(balancer.forward(&opening(1), 1), Forwarding::Wait(WaitReason::NoTargetYet));
+        wait(&mut balancer, &opening(1), 1);
+        assert_eq!(due(&mut balancer, 2), []);
+        balancer.targets.update(status(1, TargetPhase::Cold, 2), 0, 3);
+        assert_eq!(due(&mut balancer, 3), [opening(1)]);
+    };
+    an_opening_does_not_wait_for_a_target_that_leaves: {
+        let mut balancer = balancer(&[1], TargetPhase::Leaving);
+        let forwarding = balancer.forward(&opening(1), 1);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoTarget));
+    };
+    a_flow_is_searched_for_once_and_the_rest_of_its_segments_wait: {
+        // A burst of acknowledgements made a search each.
+        let mut balancer = balancer(&[1, 2], TargetPhase::Serving);
+        end_of(&balancer.forward(&segment(1), 1));
+        let second = Segment { sequence: 200, ..segment(1) };
+        assert_eq!(balancer.forward(&second, 2), Forwarding::Wait(WaitReason::SearchUnderWay));
+        wait(&mut balancer, &second, 2);
+        assert_eq!(due(&mut balancer, 3), []);
+        balancer.found.found(segment(1).flow, agent(2), true, 4);
+        assert_eq!(due(&mut balancer, 4), [second]);
+        assert_eq!(end_of(&balancer.forward(&second, 4)), (agent(2), 0));
+    };
+    a_search_that_is_held_up_is_made_again_for_who_waits: {
+        let mut balancer = balancer(&[1, 2], TargetPhase::Serving);
+        end_of(&balancer.forward(&segment(1), 1));
+        wait(&mut balancer, &segment(1), 2);
+        assert_eq!((due(&mut balancer, 150), due(&mut balancer, 151)), (vec![], vec![segment(1)]));
+    };
+    what_waits_for_a_flow_that_is_lost_goes_with_it: {
+        let mut balancer = balancer(&[1], TargetPhase::Serving);
+        let (last, search) = end_of(&balancer.forward(&segment(1), 1));
+        wait(&mut balancer, &Segment { sequence: 200, ..segment(1) }, 2);
+        let forwarding = balancer.take_back(&segment(1), last, search, false, 3);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NotHeld));
+        assert!(balancer.waiting.is_empty());
+    };
+    a_lost_flow_is_reset_once_all_agents_are_known_and_not_at_the_next_copy: {
+        // Callers of lost flows learned of it up to 1.6 s after the balancer could tell.
+        let mut balancer = balancer(&[1], TargetPhase::Serving);
+        balancer.knows_all_agents = false;
+        let (last, search) = end_of(&balancer.forward(&segment(1), 1));
+        let forwarding = balancer.take_back(&segment(1), last, search, false, 3);
+        assert_eq!(forwarding, Forwarding::Wait(WaitReason::NotAllAnswered));
+        wait(&mut balancer, &segment(1), 3);
+        assert_eq!(due(&mut balancer, 200), []);
+        balancer.knows_all_agents = true;
+        assert_eq!(due(&mut balancer, 201), [segment(1)]);
+        let (last, search) = end_of(&balancer.forward(&segment(1), 201));
+        let forwarding = balancer.take_back(&segment(1), last, search, false, 203);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NotHeld));
+    };
+    an_opening_that_met_full_targets_is_offered_to_others_and_then_refused: {
+        let mut balancer = balancer(&[1, 2, 3], TargetPhase::Serving);
+        let mut firsts = Vec::new();
+        for now_ms in [0, 60, 120, 180, 240, 300, 360] {
+            let forwarding = balancer.forward(&opening(1), now_ms);
+            firsts.push(match &forwarding {
+                Forwarding::Send(ways) => ways[0].0,
+                other => panic!("it is offered, not {other:?}"),
+            });
+            let forwarding = refuse_as_full(&mut balancer, end_of(&forwarding), now_ms + 5);
+            assert_eq!(forwarding, Forwarding::Wait(WaitReason::AllFull), "{now_ms}");
+            wait(&mut balancer, &opening(1), now_ms + 5);
+            assert_eq!(due(&mut balancer, now_ms + 49), []);
+            assert_eq!(due(&mut balancer, now_ms + 50), [opening(1)]);
+        }
+        assert!((1..=3).all(|last| firsts.contains(&agent(last))), "{firsts:?}");
+        let last = offer(&mut balancer, 420);
+        let forwarding = refuse_as_full(&mut balancer, last, 425);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::AllFull));
+    };
+    an_opening_is_not_refused_while_another_offer_is_out: {
+        let mut balancer = balancer(&[1, 2, 3], TargetPhase::Serving);
+        let early = offer(&mut balancer, 0);
+        let copy = Segment { copy: 1, ..opening(1) };
+        let late = end_of(&balancer.forward(&copy, 450));
+        let forwarding = refuse_as_full(&mut balancer, late, 455);
+        assert_eq!(forwarding, Forwarding::Drop(DropReason::LateRefusal));
+        let forwarding = refuse_as_full(&mut balancer, early, 460);
+        assert_eq!(forwarding, Forwarding::Drop(DropReason::LateRefusal));
+    };
+}
