A request that was admitted before its target was replaced is asked for again; old answers warm no new process

A request that is admitted at the warm limit and finds its idle connection closed was sent on a fresh connection, to whichever process listens by then; and answers of the process before, read after the announcement of the new one, were counted for its growth.

--- a/src/process/agent_state.rs
+++ b/src/process/agent_state.rs
@@ -96,6 +96,8 @@
         /// Its ticket.
         ticket: Option<TicketId>,
     },
+    /// A request that was admitted and not sent yet may meet another process of the target.
+    TargetInDoubt,
     /// A request ended without a byte sent to the target.
     NotSent {
         /// Its ticket.
@@ -207,6 +209,12 @@
             }
             Input::TicketWanted => return Decision::Ticket(self.tickets.issue()),
             Input::Request { idempotent, ticket } => return self.request(*idempotent, *ticket),
+            Input::TargetInDoubt => {
+                return match self.admission.may_go_on() {
+                    true => Decision::Run,
+                    false => Decision::Refuse(Refusal::NoSlot),
+                };
+            }
             Input::NotSent { ticket } => {
                 self.admission.finish_request(Outcome::Abandoned);
                 if let Some(ticket) = ticket {
--- a/src/process/request_handler.rs
+++ b/src/process/request_handler.rs
@@ -340,7 +340,9 @@
     let path = arrived.request.uri().path().to_owned();
     let keeps_answer = arrived.ticket.is_some();
     let request = upstream_request(binding, arrived);
-    let sending = shared.upstream.send(binding.target_address, binding.max_connections, request);
+    let may_go_on = || shared.apply(&Input::TargetInDoubt) == Decision::Run;
+    let (address, max_connections) = (binding.target_address, binding.max_connections);
+    let sending = shared.upstream.send(address, max_connections, request, may_go_on);
     match timeout_at(deadline, sending).await {
         Err(_) => {
             ending.ended(Outcome::Abandoned, None);
@@ -370,6 +372,7 @@
     let reason = match error {
         UpstreamError::NotSent => Refusal::TargetUnreachable,
         UpstreamError::Full => Refusal::NoConnection,
+        UpstreamError::Replaced => Refusal::NoSlot,
         UpstreamError::Closed => {
             ending.ended(Outcome::Failed, None);
             refuse(shared, stream, Refusal::TargetClosed).await;
--- a/src/process/upstream.rs
+++ b/src/process/upstream.rs
@@ -36,6 +36,9 @@
     /// The target holds as many connections as it may.
     #[snafu(display("no connection is free"))]
     Full,
+    /// The target may be another process since the request was admitted, and bears less. Nothing was sent.
+    #[snafu(display("the target was replaced"))]
+    Replaced,
     /// The request was sent, at least in part.
     #[snafu(display("the target closed the connection"))]
     Closed,
@@ -49,6 +52,7 @@
     idle: Mutex<Vec<PooledConnection>>,
     open: Arc<AtomicU32>,
     generation: AtomicU64,
+    losses: Arc<AtomicU64>,
     on_loss: LossListener,
 }
 
@@ -73,10 +77,17 @@
 impl Upstream {
     /// Creates an empty pool.
     pub fn new(on_loss: LossListener) -> Upstream {
+        let losses = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&losses);
+        let on_loss: LossListener = Arc::new(move || {
+            on_loss();
+            counted.fetch_add(1, Ordering::Relaxed);
+        });
         Upstream {
             idle: Mutex::default(),
             open: Arc::default(),
             generation: AtomicU64::new(0),
+            losses,
             on_loss,
         }
     }
@@ -92,20 +103,33 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Sends a request and returns the head of the answer.
+    /// Sends a request that was admitted a moment ago and returns the head of the answer.
+    ///
+    /// Where a connection turns out to be lost, the target may be another process by now, which bears less:
+    /// `may_go_on` says whether the request is still admitted.
     pub async fn send(
         &self,
         address: SocketAddr,
         max_connections: u32,
         mut request: Request<Full<Bytes>>,
+        may_go_on: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
+        let mut losses = self.losses.load(Ordering::Relaxed);
         loop {
             let (mut connection, is_fresh) = self.connection(address, max_connections).await?;
+            let losses_now = self.losses.load(Ordering::Relaxed);
+            if losses_now != losses && !may_go_on() {
+                return Err(UpstreamError::Replaced);
+            }
+            losses = losses_now;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, UpstreamConnection { inner: connection })),
                 Err(mut error) => match error.take_message() {
                     // An idle connection was closed meanwhile and nothing was written to it.
-                    Some(unsent) if !is_fresh => request = unsent,
+                    Some(unsent) if !is_fresh => {
+                        (self.on_loss)();
+                        request = unsent;
+                    }
                     Some(_) => return Err(UpstreamError::NotSent),
                     None => return Err(UpstreamError::Closed),
                 },
@@ -127,7 +151,9 @@
         max_connections: u32,
     ) -> Result<(PooledConnection, bool), UpstreamError> {
         while let Some(connection) = self.pop_idle() {
-            if connection.address == address && !connection.sender.is_closed() {
+            if connection.sender.is_closed() {
+                (self.on_loss)();
+            } else if connection.address == address {
                 return Ok((connection, false));
             }
         }
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -42,6 +42,8 @@
     limit: u32,
     answers: u32,
     busy: u32,
+    /// Requests that the process before was at work on when this one started.
+    of_process_before: u32,
     flows: u32,
     present: bool,
     leaving: bool,
@@ -57,6 +59,7 @@
             limit: capacity.first_limit.min(capacity.slots),
             answers: 0,
             busy: 0,
+            of_process_before: 0,
             flows: 0,
             present: false,
             leaving: false,
@@ -72,6 +75,7 @@
         self.leaving = false;
         self.suspended = None;
         self.answers = 0;
+        self.of_process_before = self.busy;
         self.limit = if warm { capacity.slots } else { self.first_limit() };
     }
 
@@ -128,10 +132,19 @@
         Ok(())
     }
 
+    /// Whether a request that holds a slot is still admitted, after the target may have become another
+    /// process.
+    pub fn may_go_on(&self) -> bool {
+        self.refusal_of_all_work().is_ok() && self.busy <= self.limit
+    }
+
     /// Gives the slot of one request back.
     pub fn finish_request(&mut self, outcome: Outcome) {
         self.busy = self.busy.saturating_sub(1);
+        let is_of_process_before = self.of_process_before > 0;
+        self.of_process_before = self.of_process_before.saturating_sub(1);
         match outcome {
+            Outcome::Answered if is_of_process_before => {}
             Outcome::Answered => self.count_answer(),
             Outcome::Shed => self.lower_after_shed(),
             Outcome::Failed => self.suspect_new_process(),
