A balancer that hears no other asks the seeds

They had the configuration from a seed after 0.35 s and were ready, but knew no agent for up to five seconds: nodes are read from the store, and other balancers tell their state only to those that they know, which does not include one that has said that it stops.

Change: while it hears no balancer, a balancer that starts asks the seeds, each 100 ms, for five seconds. Ruled out: waiting with readiness for an agent; the zone's other balancer was away as well.

The test of the whole path fails without it.

--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -251,10 +251,24 @@
         self.send_state_to(&receivers, false).await;
     }
 
-    /// Asks balancers that nobody has heard yet.
+    /// Whether this balancer has only just started, or stood still, and others can tell it more.
+    fn is_uninformed(&self, now_ms: u64) -> bool {
+        let running_ms = now_ms - self.running_since_ms.load(Ordering::Relaxed);
+        let peers = self.peers();
+        !peers.is_settled(now_ms) || (running_ms < INTRODUCED_MS && peers.is_alone(now_ms))
+    }
+
+    /// Asks balancers that nobody has heard yet, and the seeds while none is heard: the store may be away.
     pub(super) async fn ask_unheard(&self) {
-        let unheard = self.peers().unheard();
-        self.send_state_to(&unheard, true).await;
+        let (mut asked, is_alone) = {
+            let peers = self.peers();
+            (peers.unheard(), peers.is_alone(self.now_ms()))
+        };
+        if is_alone {
+            let own = self.settings.node.control_address;
+            asked.extend(self.seeds.at_port(own.port()).into_iter().filter(|seed| *seed != own));
+        }
+        self.send_state_to(&asked, true).await;
     }
 
     async fn send_state_to(&self, receivers: &[SocketAddrV4], asks: bool) {
@@ -424,7 +438,7 @@
             told_ms = now_ms;
             shared.send_state().await;
             shared.ask_unheard().await;
-        } else if !shared.peers().is_settled(now_ms) {
+        } else if shared.is_uninformed(now_ms) {
             shared.ask_unheard().await;
         }
         if now_ms - swept_ms >= SWEEP_INTERVAL_MS {
--- a/src/process/passthrough/seeds.rs
+++ b/src/process/passthrough/seeds.rs
@@ -42,6 +42,11 @@
         last.clone()
     }
 
+    /// Where the seeds listen on another port; ports are the same on all hosts.
+    pub fn at_port(&self, port: u16) -> Vec<SocketAddrV4> {
+        self.current().into_iter().map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect()
+    }
+
     /// Reads the settings at each SIGHUP, for as long as the process runs.
     pub async fn reload_on_signal(&self) -> Result<()> {
         let hang_up = signal(SignalKind::hangup());
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -134,6 +134,11 @@
         unheard.map(|(control, _)| *control).collect()
     }
 
+    /// Whether no balancer is heard.
+    pub fn is_alone(&self, now_ms: u64) -> bool {
+        self.heard(now_ms).next().is_none()
+    }
+
     /// Balancers to tell of this one's state: all of its zone, and one of each other zone where this
     /// balancer is among the first of its own.
     pub fn receivers(&self, now_ms: u64) -> Vec<SocketAddrV4> {
