--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -69,6 +69,20 @@
     Introducing,
 }
 
+impl TargetPhase {
+    /// Word for operators.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TargetPhase::Unknown => "unknown",
+            TargetPhase::Serving => "serving",
+            TargetPhase::Cold => "cold",
+            TargetPhase::Leaving => "leaving",
+            TargetPhase::Ended => "ended",
+            TargetPhase::Introducing => "introducing",
+        }
+    }
+}
+
 /// Limits that come with the configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct GateLimits {
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -37,7 +37,7 @@
 use crate::process::passthrough::datagrams::send;
 use crate::process::passthrough::datagrams::send_to_all;
 use crate::process::passthrough::exchange;
-use crate::process::passthrough::exchange::SnapshotSource;
+use crate::process::passthrough::exchange::ExchangeSource;
 use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Probe;
@@ -137,7 +137,7 @@
     let surface = shared.platform.surface.clone();
     admin::start_bare(node.ready_address, |server| surface.with_readiness(server, readiness))
         .await?;
-    let source: Arc<dyn SnapshotSource> = shared.clone();
+    let source: Arc<dyn ExchangeSource> = shared.clone();
     admin::start_bare(shared.settings.exchange_address, |server| exchange::mount(server, source))
         .await?;
     if let Some(address) = node.metrics_address {
--- a/src/process/passthrough/balancer_configuration.rs
+++ b/src/process/passthrough/balancer_configuration.rs
@@ -8,13 +8,18 @@
 
 use crate::log_event;
 use crate::process::events::Event;
+use crate::process::passthrough::Readiness;
 use crate::process::passthrough::balancer::Shared;
-use crate::process::passthrough::exchange::SnapshotSource;
+use crate::process::passthrough::exchange::AgentView;
+use crate::process::passthrough::exchange::BalancerView;
+use crate::process::passthrough::exchange::ExchangeSource;
 use crate::process::store::StoreChange;
 use crate::process::store::StoreValue;
 use crate::version::routing::Applied;
 use crate::version::routing::Configuration;
 use crate::version::routing::OperatorItem;
+use crate::version::target_table::Liveness;
+use crate::version::target_table::TargetStatus;
 use crate::wire::ConfigurationItem;
 use crate::wire::ConfigurationSnapshot;
 
@@ -98,7 +103,7 @@
     }
 }
 
-impl SnapshotSource for Shared {
+impl ExchangeSource for Shared {
     fn snapshot(&self) -> ConfigurationSnapshot {
         let revision = self.state().routing.revision();
         let item = |(key, (value, revision)): (&String, &(Vec<u8>, u64))| ConfigurationItem {
@@ -108,4 +113,35 @@
         };
         ConfigurationSnapshot { revision, items: self.items().iter().map(item).collect() }
     }
+
+    fn view(&self) -> BalancerView {
+        let now_ms = self.now_ms();
+        let is_ready = self.is_ready();
+        let balancers = self.peers().news(now_ms).map(|news| news.exchange).collect();
+        let state = self.state();
+        BalancerView {
+            node: self.settings.node.node.clone(),
+            availability_zone: self.settings.node.availability_zone.clone(),
+            is_ready,
+            newest_change: state.routing.newest_change(),
+            balancers,
+            agents: state
+                .targets
+                .all(now_ms)
+                .map(|(data, zone, liveness, status)| AgentView {
+                    data,
+                    availability_zone: zone.to_owned(),
+                    is_alive: liveness == Liveness::Alive,
+                    state: status.map_or_else(String::new, state_of),
+                })
+                .collect(),
+        }
+    }
+}
+
+/// Phase, service and load of a target, for operators.
+fn state_of(status: &TargetStatus) -> String {
+    let TargetStatus { service, phase, slots, flows, busy, .. } = status;
+    let phase = phase.as_str();
+    format!("{phase} {service} busy={busy}/{slots} flows={flows}")
 }
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -22,6 +22,7 @@
 pub mod registration;
 pub mod seeds;
 pub mod settings;
+pub mod status;
 pub mod way;
 
 use std::sync::Arc;
--- a/src/process/status.rs
+++ b/src/process/status.rs
@@ -22,7 +22,7 @@
 const NODE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Nodes asked at once.
-const NODES_AT_ONCE: usize = 64;
+pub const NODES_AT_ONCE: usize = 64;
 
 /// Answer of one balancer.
 #[derive(Clone, Debug, Deserialize)]
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -368,6 +368,16 @@
         self.targets.values().all(|entry| self.judge(entry, now_ms) != Liveness::Awaited)
     }
 
+    /// All agents, how each is seen and what it last said.
+    pub fn all(
+        &self,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (SocketAddrV4, &str, Liveness, Option<&TargetStatus>)> {
+        self.targets.iter().map(move |(data, entry)| {
+            (*data, entry.zone.as_str(), self.judge(entry, now_ms), entry.status.as_ref())
+        })
+    }
+
     /// Whether a target of one of these services takes flows.
     pub fn takes_flows(&self, services: &[&str], now_ms: u64) -> bool {
         self.any(services, now_ms, |phase| {
