--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -31,14 +31,13 @@
 use crate::process::passthrough::balancer_forwarding;
 use crate::process::passthrough::balancer_state::BalancerState;
 use crate::process::passthrough::balancer_store;
+use crate::process::passthrough::balancer_waiting;
 use crate::process::passthrough::datagrams::MAX_DATAGRAM_BYTES;
 use crate::process::passthrough::datagrams::bind;
 use crate::process::passthrough::datagrams::receive;
 use crate::process::passthrough::datagrams::send;
-use crate::process::passthrough::datagrams::send_to_all;
 use crate::process::passthrough::exchange;
 use crate::process::passthrough::exchange::ExchangeSource;
-use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::process::passthrough::message::Probe;
 use crate::process::passthrough::metrics;
@@ -47,7 +46,6 @@
 use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughBalancerSettings;
 use crate::process::signals;
-use crate::version::balancer_table::BalancerNews;
 use crate::version::balancer_table::BalancerTable;
 use crate::version::target_table::KnownAgent;
 use crate::version::target_table::TargetStatus;
@@ -73,7 +71,7 @@
 
 /// Time after which a balancer that could not read the nodes takes those that it knows for all, in
 /// milliseconds: agents that are not probed tell seeds and balancers each two seconds.
-const INTRODUCED_MS: u64 = 5_000;
+pub(super) const INTRODUCED_MS: u64 = 5_000;
 
 /// Time from a planned stop to its end, in milliseconds: the platform asks twice a second and turns
 /// away after two misses; half a second for what is on its way.
@@ -91,7 +89,7 @@
     pub(super) probe_soon: Notify,
     pub(super) release_soon: Notify,
     /// Since when this process has not stood still.
-    running_since_ms: AtomicU64,
+    pub(super) running_since_ms: AtomicU64,
     pub(super) has_read_nodes: AtomicBool,
     pub(super) read_nodes_again: Notify,
     pub(super) metrics: PassthroughMetrics,
@@ -145,7 +143,7 @@
         admin::start_bare(address, |server| metrics::mount(server, source)).await?;
     }
     tokio::spawn(balancer_forwarding::forward_segments(Arc::clone(&shared)));
-    tokio::spawn(balancer_forwarding::release_waiting(Arc::clone(&shared)));
+    tokio::spawn(balancer_waiting::release_waiting(Arc::clone(&shared)));
     tokio::spawn(read_control(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
@@ -245,101 +243,6 @@
         }
     }
 
-    /// Tells the balancers that should hear of this one how it sees the others and the agents.
-    async fn send_state(&self) {
-        let receivers = self.peers().receivers(self.now_ms());
-        self.send_state_to(&receivers, false).await;
-    }
-
-    /// Whether this balancer has only just started, or stood still, and others can tell it more.
-    fn is_uninformed(&self, now_ms: u64) -> bool {
-        let running_ms = now_ms - self.running_since_ms.load(Ordering::Relaxed);
-        let peers = self.peers();
-        !peers.is_settled(now_ms) || (running_ms < INTRODUCED_MS && peers.is_alone(now_ms))
-    }
-
-    /// Asks balancers that nobody has heard yet, and the seeds while none is heard: the store may be away.
-    pub(super) async fn ask_unheard(&self) {
-        let (mut asked, is_alone) = {
-            let peers = self.peers();
-            (peers.unheard(), peers.is_alone(self.now_ms()))
-        };
-        if is_alone {
-            let own = self.settings.node.control_address;
-            asked.extend(self.seeds.at_port(own.port()).into_iter().filter(|seed| *seed != own));
-        }
-        self.send_state_to(&asked, true).await;
-    }
-
-    async fn send_state_to(&self, receivers: &[SocketAddrV4], asks: bool) {
-        if receivers.is_empty() {
-            return;
-        }
-        let now_ms = self.now_ms();
-        let targets = {
-            let state = self.state();
-            state.targets.news(now_ms).map(|(status, age_ms)| (status.clone(), age_ms)).collect()
-        };
-        let balancers = self.peers().news(now_ms).collect();
-        self.tell(receivers, balancers, targets, asks).await;
-    }
-
-    /// Tells the others at once of an agent that has changed.
-    async fn spread(&self, status: TargetStatus) {
-        let now_ms = self.now_ms();
-        let receivers = self.peers().change_receivers(status.data, &status.zone, now_ms);
-        self.tell(&receivers, Vec::new(), vec![(status, 0)], false).await;
-    }
-
-    async fn tell(
-        &self,
-        receivers: &[SocketAddrV4],
-        balancers: Vec<BalancerNews>,
-        targets: Vec<(TargetStatus, u64)>,
-        asks: bool,
-    ) {
-        let message = NodeMessage::Balancer(message::BalancerState {
-            control: self.settings.node.control_address,
-            exchange: self.settings.exchange_address,
-            zone: self.settings.node.availability_zone.clone(),
-            newest_change: self.state().routing.newest_change(),
-            balancers,
-            targets,
-            is_stopping: self.is_stopping.load(Ordering::Relaxed),
-            asks,
-        });
-        send_to_all(&self.control, &message.encode(), receivers).await;
-    }
-
-    async fn take_balancer(&self, message: message::BalancerState) {
-        let now_ms = self.now_ms();
-        {
-            let mut peers = self.peers();
-            for news in &message.balancers {
-                peers.hear(news, now_ms);
-            }
-            if message.is_stopping {
-                peers.leave(message.control);
-            } else {
-                let sender = BalancerNews {
-                    control: message.control,
-                    exchange: message.exchange,
-                    zone: message.zone,
-                    newest_change: message.newest_change,
-                    age_ms: 0,
-                };
-                peers.hear(&sender, now_ms);
-            }
-        }
-        for (status, age_ms) in message.targets {
-            self.take_status(status, age_ms);
-        }
-        if message.asks {
-            self.send_state_to(&[message.control], false).await;
-        }
-        self.note_knowledge();
-    }
-
     async fn take_status_of_agent(&self, status: TargetStatus) {
         let (data, phase) = (status.data, status.phase);
         let is_changed = self.take_status(status.clone(), 0);
@@ -353,7 +256,7 @@
     }
 
     /// Takes over a status; says whether it tells something new.
-    fn take_status(&self, status: TargetStatus, age_ms: u64) -> bool {
+    pub(super) fn take_status(&self, status: TargetStatus, age_ms: u64) -> bool {
         let now_ms = self.now_ms();
         let (data, lifetime, phase) = (status.data, status.lifetime, status.phase);
         let is_stopping = status.is_stopping;
@@ -396,7 +299,7 @@
             }
             Some(NodeMessage::Found { flow, holder, is_confirmed }) => {
                 shared.state().found.found(flow, holder, is_confirmed, now_ms);
-                balancer_forwarding::release_flow(&shared, &flow, &mut out).await;
+                balancer_waiting::release_flow(&shared, &flow, &mut out).await;
             }
             Some(NodeMessage::Returned(returned)) => {
                 balancer_forwarding::take_back(&shared, returned, &mut out).await;
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -266,6 +266,8 @@
         due
     }
 
+    /// Whether a segment that waits can be decided on. `all_answer` says that every agent that may hold a
+    /// flow is known and answers, or is known to be silent.
     fn is_due(&mut self, segment: &Segment, all_answer: bool, now_ms: u64) -> bool {
         let flow = &segment.flow;
         if self.routing.route(flow.service).is_none() {
@@ -280,13 +282,12 @@
         if self.found.holder(flow, now_ms).is_some() {
             return true;
         }
-        match self.found.is_under_way(flow, now_ms) {
-            true => false,
-            false => {
-                all_answer
-                    || self.found.is_held_up(flow, now_ms) && self.found.may_search(flow, now_ms)
-            }
+        if self.found.is_under_way(flow, now_ms) {
+            return false;
         }
+        let may_search_again =
+            self.found.is_held_up(flow, now_ms) && self.found.may_search(flow, now_ms);
+        all_answer || may_search_again
     }
 
     /// An opening goes to the agent that has taken an earlier copy, or to a fresh chain.
