--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -46,6 +46,7 @@
 use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughBalancerSettings;
 use crate::process::signals;
+use crate::version::balancer_table::ASK_INTERVAL_MS;
 use crate::version::balancer_table::BalancerTable;
 use crate::version::target_table::KnownAgent;
 use crate::version::target_table::TargetStatus;
@@ -56,8 +57,8 @@
 /// Time between two states sent to other balancers, in milliseconds.
 const STATE_INTERVAL_MS: u64 = 600;
 
-/// Time between two looks at the clock; a jump of [`STALL_MS`] between them is a stall.
-const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks at the clock, and between two rounds of asking; a jump of [`STALL_MS`] between them is a stall.
+const TICK: Duration = Duration::from_millis(ASK_INTERVAL_MS);
 
 /// Time that a tick may be late, in milliseconds, before what is held counts as old.
 const STALL_MS: u64 = 600;
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -28,8 +28,8 @@
     /// Asks balancers that nobody has heard yet, and the seeds while none is heard: the store may be away.
     pub(super) async fn ask_unheard(&self) {
         let (mut asked, is_alone) = {
-            let peers = self.peers();
-            (peers.unheard(), peers.is_alone(self.now_ms()))
+            let (peers, now_ms) = (self.peers(), self.now_ms());
+            (peers.to_ask(now_ms), peers.is_alone(now_ms))
         };
         if is_alone {
             let own = self.settings.node.control_address;
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -26,6 +26,12 @@
 /// six answers are missing.
 const UNHEARD_MS: u64 = 600;
 
+/// Balancers that are asked for their state at once: at full size each answers with some 30 KB.
+const MAX_ASKED: usize = 8;
+
+/// Time between two rounds of asking, in milliseconds.
+pub const ASK_INTERVAL_MS: u64 = 100;
+
 /// Silence after which a balancer is forgotten, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 
@@ -125,13 +131,21 @@
         in_zone.filter(|(control, _)| score(control) > own_score).count() < KEEPERS
     }
 
-    /// Balancers that nobody has heard yet, to ask for their state.
+    /// Some of the balancers that are not heard yet, to ask for their state; others at another time.
     ///
     /// The load that it answers: everything starting at once. A balancer that has just started resets
-    /// no flow before the others have told of the agents that they know, and so asks them.
-    pub fn unheard(&self) -> Vec<SocketAddrV4> {
+    /// no flow before the others have told of the agents that they know, and so asks them. A few answers
+    /// tell of all balancers and agents.
+    pub fn to_ask(&self, now_ms: u64) -> Vec<SocketAddrV4> {
         let unheard = self.peers.iter().filter(|(_, peer)| peer.heard_ms.is_none());
-        unheard.map(|(control, _)| *control).collect()
+        let mut unheard: Vec<SocketAddrV4> = unheard.map(|(control, _)| *control).collect();
+        if unheard.len() > MAX_ASKED {
+            let round = usize::try_from(now_ms / ASK_INTERVAL_MS).unwrap_or(0);
+            let first = round * MAX_ASKED % unheard.len();
+            unheard.rotate_left(first);
+            unheard.truncate(MAX_ASKED);
+        }
+        unheard
     }
 
     /// Whether no balancer is heard.
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -336,7 +336,7 @@
         let mut table = table(1);
         assert!(table.is_settled(0));
         table.learn(address(2, 7720), address(2, 8166), "a", 0);
-        assert_eq!(table.unheard(), [address(2, 7720)]);
+        assert_eq!(table.to_ask(0), [address(2, 7720)]);
         assert!(!table.is_settled(599), "asked six times");
         assert!(table.is_settled(600));
         table.learn(address(3, 7720), address(3, 8166), "a", 1_300);
@@ -349,6 +349,16 @@
         hear(&mut table, 3, "a", 9_001);
         assert!(table.is_settled(9_001));
     };
+    a_few_balancers_are_asked_at_a_time_and_all_in_turn: {
+        // At 670 balancers the answers of all would be 20 MB.
+        let mut table = table(1);
+        (2..=41).for_each(|last| table.learn(address(last, 7720), address(last, 8166), "a", 0));
+        let rounds: Vec<Vec<SocketAddrV4>> =
+            (0..5).map(|round| table.to_ask(round * 100)).collect();
+        assert!(rounds.iter().all(|round| round.len() == 8), "{rounds:?}");
+        let asked: IndexSet<SocketAddrV4> = rounds.into_iter().flatten().collect();
+        assert_eq!(asked.len(), 40);
+    };
     a_flow_that_one_zone_has_not_given_back_is_not_reset: {
         let mut balancer = balancer();
         let forwarding = balancer.forward(&segment_of(ONCE, 1), 1);
