A balancer that has read the store since a change is not behind it

The other named the revision of a key that had been removed since; the restarted one can only name what still stands, and took itself for behind for good. On the platform that is every balancer restarted after a zone came back in, until the next change; a fetch costs a balancer with 0.055 of a core some 20 ms.

Change: what others name is compared with the revision up to which this one has read, not with the newest change that it can name.

--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -159,17 +159,22 @@
     loop {
         sleep(CATCH_UP_INTERVAL).await;
         let now_ms = shared.now_ms();
-        let own = shared.state().routing.newest_change();
-        let is_behind = own == 0 || !shared.peers().ahead_of(own).is_empty();
+        // What was removed leaves no revision behind, so a balancer that has read the store since then
+        // knows all, though it names an older change.
+        let (own, is_configured) = {
+            let state = shared.state();
+            (state.routing.revision(), state.routing.is_configured())
+        };
+        let is_behind = !is_configured || !shared.peers().ahead_of(own).is_empty();
         if !is_behind {
             behind_since_ms = None;
             continue;
         }
         let since_ms = *behind_since_ms.get_or_insert(now_ms);
-        if own != 0 && now_ms.saturating_sub(since_ms) < BEHIND_MS {
+        if is_configured && now_ms.saturating_sub(since_ms) < BEHIND_MS {
             continue;
         }
-        for exchange in sources(&shared, own) {
+        for exchange in sources(&shared, own, is_configured) {
             match exchange::fetch(&client, exchange).await {
                 Ok(snapshot) if snapshot.revision >= own => {
                     let revision = snapshot.revision;
@@ -185,10 +190,10 @@
     }
 }
 
-/// Balancers that know more than this one; the seeds as well while it knows nothing.
-fn sources(shared: &Shared, own_revision: u64) -> Vec<SocketAddrV4> {
+/// Balancers that know more than this one; the seeds as well while it has no configuration.
+fn sources(shared: &Shared, own_revision: u64, is_configured: bool) -> Vec<SocketAddrV4> {
     let mut sources = shared.peers().ahead_of(own_revision);
-    if own_revision == 0 {
+    if !is_configured {
         let own = shared.settings.exchange_address;
         sources.extend(shared.seeds.current().into_iter().filter(|seed| *seed != own));
     }
