--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -141,13 +141,14 @@
         if !segment.opens && !is_known {
             return;
         }
-        if segment.opens && !is_known {
+        let begins = segment.opens && !is_known;
+        let ends_wait = segment.payload_bytes > 0 || segment.resets;
+        if begins {
             self.expected_until_ms.push_back((segment.flow, now_ms + EXPECTED_MS));
         }
         self.change(segment.flow, |held| {
             held.seen_ms = now_ms;
-            held.is_expected = segment.opens && (held.is_expected || !is_known)
-                || held.is_expected && segment.payload_bytes == 0 && !segment.resets;
+            held.is_expected = (held.is_expected || begins) && !ends_wait;
             held.is_confirmed |= !segment.opens;
             held.caller_ended |= segment.ends;
             if held.take_data(segment) && !held.is_busy {
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -22,8 +22,8 @@
 /// Silence after which a balancer has no part in the work, in milliseconds: three states are missing.
 const SILENCE_MS: u64 = 2_000;
 
-/// Time that a balancer has to be heard, in milliseconds, once it is known: it is asked each 100 ms, and
-/// six answers are missing.
+/// Time that a balancer has to be heard, in milliseconds, once it is known: it or others that hear it are
+/// asked each 100 ms, and six answers are missing.
 const UNHEARD_MS: u64 = 600;
 
 /// Balancers that are asked for their state at once: at full size each answers with some 30 KB.
