One piece of code where the change had two

Found on reading the whole change again; behaviour stays. - Status: both programs that print one use the same walk through nodes (ask_all) and the same printing. - Flows that are found: "under way" and "held up" are two sides of one question; the window in which searches are counted is asked for in one place. - Whether a phase takes flows was written three times, the runtime of one thread three times, the client for other balancers twice, the age of a balancer twice. - A segment that the last chain gives back no longer ranks all agents and builds chains again only to learn whether one is awaited or silent. - What waits is looked at by the tick that a balancer has anyway, and only while something waits, instead of by a timer of its own.

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -31,6 +31,10 @@
 /// Time between two offers of an opening, in milliseconds: the work of a request, in which slots are freed.
 const OFFER_INTERVAL_MS: u64 = 50;
 
+/// Time after which a search counts as held up, in milliseconds: a chain takes a few milliseconds, and
+/// callers send again after 200 ms.
+const HELD_UP_MS: u64 = 150;
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     holder: Option<SocketAddrV4>,
@@ -48,9 +52,18 @@
     offers_out: u32,
 }
 
-/// Time after which a search counts as held up, in milliseconds: a chain takes a few milliseconds, and
-/// callers send again after 200 ms.
-const HELD_UP_MS: u64 = 150;
+impl Entry {
+    /// How long the flow has been searched for without an end, in milliseconds.
+    fn searching_ms(&self, now_ms: u64) -> Option<u64> {
+        let is_open = self.outstanding > 0 && self.holder.is_none();
+        is_open.then(|| now_ms.saturating_sub(self.search_ms))
+    }
+
+    /// Whether the time in which searches are counted is over.
+    fn is_window_over(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.first_search_ms) > SEARCH_WINDOW_MS
+    }
+}
 
 /// What a search has come to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -123,7 +136,7 @@
     ) -> Option<u32> {
         let search = self.next_search();
         let entry = self.entry(flow, now_ms);
-        if now_ms.saturating_sub(entry.first_search_ms) > SEARCH_WINDOW_MS {
+        if entry.is_window_over(now_ms) {
             entry.first_search_ms = now_ms;
             entry.searches = 0;
         }
@@ -139,28 +152,19 @@
 
     /// Whether a flow is being searched for, and the search may still end in time.
     pub fn is_under_way(&self, flow: &FlowKey, now_ms: u64) -> bool {
-        self.entries.get(flow).is_some_and(|entry| {
-            entry.outstanding > 0
-                && entry.holder.is_none()
-                && now_ms.saturating_sub(entry.search_ms) < HELD_UP_MS
-        })
+        self.searching_ms(flow, now_ms).is_some_and(|searching_ms| searching_ms < HELD_UP_MS)
     }
 
     /// Whether one more search is allowed while an agent is awaited.
     pub fn may_search(&self, flow: &FlowKey, now_ms: u64) -> bool {
-        self.entries.get(flow).is_none_or(|entry| {
-            entry.searches < MAX_SEARCHES
-                || now_ms.saturating_sub(entry.first_search_ms) > SEARCH_WINDOW_MS
-        })
+        self.entries
+            .get(flow)
+            .is_none_or(|entry| entry.searches < MAX_SEARCHES || entry.is_window_over(now_ms))
     }
 
     /// Whether the last search for a flow should have ended and has not: somebody on its way is gone.
     pub fn is_held_up(&self, flow: &FlowKey, now_ms: u64) -> bool {
-        self.entries.get(flow).is_some_and(|entry| {
-            entry.outstanding > 0
-                && entry.holder.is_none()
-                && now_ms.saturating_sub(entry.search_ms) >= HELD_UP_MS
-        })
+        self.searching_ms(flow, now_ms).is_some_and(|searching_ms| searching_ms >= HELD_UP_MS)
     }
 
     /// Number of searches for a flow lately.
@@ -235,6 +239,10 @@
         self.entries.retain(|_, entry| now_ms.saturating_sub(entry.used_ms) <= idle_ms);
     }
 
+    fn searching_ms(&self, flow: &FlowKey, now_ms: u64) -> Option<u64> {
+        self.entries.get(flow)?.searching_ms(now_ms)
+    }
+
     /// Number of the next search or offer; never 0.
     fn next_search(&mut self) -> u32 {
         self.last_search = self.last_search.wrapping_add(1).max(1);
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -70,6 +70,11 @@
 }
 
 impl TargetPhase {
+    /// Whether the target takes flows, if only a few.
+    pub fn takes_flows(self) -> bool {
+        matches!(self, TargetPhase::Serving | TargetPhase::Cold)
+    }
+
     /// Word for operators.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -43,6 +43,12 @@
     fn run(settings: Self::Settings) -> impl Future<Output = Result<()>>;
 }
 
+/// Runs something to its end on the thread of the caller.
+pub fn run_on_one_thread<T>(running: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|source| Error::Runtime { source })?.block_on(running)
+}
+
 /// Runs a daemon and returns its exit code.
 pub fn main<D: Daemon>() -> i32 {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
--- a/src/process/operator.rs
+++ b/src/process/operator.rs
@@ -5,7 +5,6 @@
 use gumdrop::Options;
 use tokio::runtime::Builder;
 
-use crate::error::EXIT_FAILURE;
 use crate::error::EXIT_SUCCESS;
 use crate::error::EXIT_USAGE;
 use crate::error::Error;
@@ -232,14 +231,7 @@
 
 async fn run_status(settings: &OperatorSettings, as_json: bool) -> Result<i32> {
     let store = EtcdStore::new(&settings.store_endpoints);
-    let status = status::collect(&store, &settings.admin_seeds).await?;
-    if as_json {
-        let text = serde_json::to_string_pretty(&status).expect("a status always serialises");
-        println!("{text}");
-    } else {
-        print!("{}", status.to_text());
-    }
-    Ok(if status.is_current() { EXIT_SUCCESS } else { EXIT_FAILURE })
+    Ok(status::collect(&store, &settings.admin_seeds).await?.print(as_json))
 }
 
 fn print_help(options: &OperatorOptions) {
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -27,6 +27,7 @@
 use crate::process::admin;
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
+use crate::process::daemon::run_on_one_thread;
 use crate::process::events::Event;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
@@ -89,9 +90,7 @@
 
 /// Runs an agent until it is told to stop.
 pub fn run(settings: PassthroughAgentSettings, platform: Platform) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|source| Error::Runtime { source })?;
-    runtime.block_on(serve(settings, platform))
+    run_on_one_thread(serve(settings, platform))
 }
 
 async fn serve(settings: PassthroughAgentSettings, platform: Platform) -> Result<()> {
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -110,8 +110,7 @@
             return TargetPhase::Ended;
         }
         let phase = self.gate.phase(now_ms);
-        let takes_flows = matches!(phase, TargetPhase::Serving | TargetPhase::Cold);
-        match takes_flows && !self.introduction.is_done(now_ms) {
+        match phase.takes_flows() && !self.introduction.is_done(now_ms) {
             true => TargetPhase::Introducing,
             false => phase,
         }
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -25,6 +25,7 @@
 use crate::process::admin;
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
+use crate::process::daemon::run_on_one_thread;
 use crate::process::events::Event;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
@@ -57,7 +58,8 @@
 /// Time between two states sent to other balancers, in milliseconds.
 const STATE_INTERVAL_MS: u64 = 600;
 
-/// Time between two looks at the clock, and between two rounds of asking; a jump of [`STALL_MS`] between them is a stall.
+/// Time between two looks at the clock, at what waits, and between two rounds of asking; a jump of
+/// [`STALL_MS`] between them is a stall.
 const TICK: Duration = Duration::from_millis(ASK_INTERVAL_MS);
 
 /// Time that a tick may be late, in milliseconds, before what is held counts as old.
@@ -72,7 +74,7 @@
 
 /// Time after which a balancer that could not read the nodes takes those that it knows for all, in
 /// milliseconds: agents that are not probed tell seeds and balancers each two seconds.
-pub(super) const INTRODUCED_MS: u64 = 5_000;
+const INTRODUCED_MS: u64 = 5_000;
 
 /// Time from a planned stop to its end, in milliseconds: the platform asks twice a second and turns
 /// away after two misses; half a second for what is on its way.
@@ -90,7 +92,7 @@
     pub(super) probe_soon: Notify,
     pub(super) release_soon: Notify,
     /// Since when this process has not stood still.
-    pub(super) running_since_ms: AtomicU64,
+    running_since_ms: AtomicU64,
     pub(super) has_read_nodes: AtomicBool,
     pub(super) read_nodes_again: Notify,
     pub(super) metrics: PassthroughMetrics,
@@ -100,9 +102,7 @@
 
 /// Runs a balancer until it is told to stop.
 pub fn run(settings: PassthroughBalancerSettings, platform: Platform) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|source| Error::Runtime { source })?;
-    runtime.block_on(serve(settings, platform))
+    run_on_one_thread(serve(settings, platform))
 }
 
 async fn serve(settings: PassthroughBalancerSettings, platform: Platform) -> Result<()> {
@@ -208,12 +208,16 @@
         self.read_nodes_again.notify_one();
     }
 
+    /// Whether this process has only just started, or stood still.
+    pub(super) fn is_new(&self, now_ms: u64) -> bool {
+        now_ms - self.running_since_ms.load(Ordering::Relaxed) < INTRODUCED_MS
+    }
+
     /// Notes whether this balancer knows all agents: the store has named the nodes, and the other
     /// balancers have told of theirs; or all have had time to make themselves known.
     pub(super) fn note_knowledge(&self) {
         let now_ms = self.now_ms();
-        let running_ms = now_ms - self.running_since_ms.load(Ordering::Relaxed);
-        let has_read = self.has_read_nodes.load(Ordering::Relaxed) || running_ms >= INTRODUCED_MS;
+        let has_read = self.has_read_nodes.load(Ordering::Relaxed) || !self.is_new(now_ms);
         let knows_all = has_read && self.peers().is_settled(now_ms);
         let had_known = std::mem::replace(&mut self.state().knows_all_agents, knows_all);
         if knows_all && !had_known {
@@ -338,12 +342,16 @@
         }
         shared.note_knowledge();
         shared.send_probes(is_round).await;
-        if now_ms - told_ms >= STATE_INTERVAL_MS {
+        let is_state_due = now_ms - told_ms >= STATE_INTERVAL_MS;
+        if is_state_due {
             told_ms = now_ms;
             shared.send_state().await;
+        }
+        if is_state_due || shared.is_uninformed(now_ms) {
             shared.ask_unheard().await;
-        } else if shared.is_uninformed(now_ms) {
-            shared.ask_unheard().await;
+        }
+        if !shared.state().waiting.is_empty() {
+            shared.release_soon.notify_one();
         }
         if now_ms - swept_ms >= SWEEP_INTERVAL_MS {
             swept_ms = now_ms;
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddrV4;
 use std::sync::atomic::Ordering;
 
-use crate::process::passthrough::balancer::INTRODUCED_MS;
 use crate::process::passthrough::balancer::Shared;
 use crate::process::passthrough::datagrams::send_to_all;
 use crate::process::passthrough::message;
@@ -20,9 +19,8 @@
 
     /// Whether this balancer has only just started, or stood still, and others can tell it more.
     pub(super) fn is_uninformed(&self, now_ms: u64) -> bool {
-        let running_ms = now_ms - self.running_since_ms.load(Ordering::Relaxed);
         let peers = self.peers();
-        !peers.is_settled(now_ms) || (running_ms < INTRODUCED_MS && peers.is_alone(now_ms))
+        !peers.is_settled(now_ms) || (self.is_new(now_ms) && peers.is_alone(now_ms))
     }
 
     /// Asks balancers that nobody has heard yet, and the seeds while none is heard: the store may be away.
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -217,16 +217,17 @@
         if self.found.note_not_held(&flow, search) == SearchState::Open {
             return Forwarding::Drop(DropReason::Searching);
         }
-        let search = self.search(&flow, now_ms);
         if segment.resets {
-            Forwarding::Drop(DropReason::NothingToReset)
-        } else if !self.knows_all_agents || search.has_awaited {
-            Forwarding::Wait(WaitReason::NotAllAnswered)
-        } else if search.unanswering.is_empty() || self.is_idempotent(&flow) {
-            self.waiting.take_flow(&flow);
-            Forwarding::Reset(ResetReason::NotHeld)
-        } else {
-            Forwarding::Drop(DropReason::NotProved)
+            return Forwarding::Drop(DropReason::NothingToReset);
+        }
+        match self.targets.unanswered(now_ms) {
+            _ if !self.knows_all_agents => Forwarding::Wait(WaitReason::NotAllAnswered),
+            Some(Liveness::Awaited) => Forwarding::Wait(WaitReason::NotAllAnswered),
+            Some(_) if !self.is_idempotent(&flow) => Forwarding::Drop(DropReason::NotProved),
+            Some(_) | None => {
+                self.waiting.take_flow(&flow);
+                Forwarding::Reset(ResetReason::NotHeld)
+            }
         }
     }
 
--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -154,7 +154,7 @@
 
 /// Fetches the configuration from a balancer that knows more, while the store is silent.
 pub(super) async fn catch_up(shared: Arc<Shared>) {
-    let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+    let client = exchange::client();
     let mut behind_since_ms = None;
     loop {
         sleep(CATCH_UP_INTERVAL).await;
--- a/src/process/passthrough/balancer_waiting.rs
+++ b/src/process/passthrough/balancer_waiting.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::connection::flow_key::FlowKey;
 use crate::connection::waiting_segments::WaitingSegment;
@@ -20,9 +19,6 @@
 /// on searches for so many.
 const MAX_RELEASED: usize = 64;
 
-/// Time between two looks at what waits, at most: a search counts as held up after 150 ms.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Pause between two looks at what waits: many agents start within it.
 const RELEASE_PAUSE: Duration = Duration::from_millis(10);
 
@@ -30,8 +26,7 @@
 pub(super) async fn release_waiting(shared: Arc<Shared>) {
     let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     loop {
-        // What is due by time alone is looked for each tenth of a second.
-        let _ = timeout(RELEASE_INTERVAL, shared.release_soon.notified()).await;
+        shared.release_soon.notified().await;
         let now_ms = shared.now_ms();
         let (expired, due) = {
             let mut state = shared.state();
--- a/src/process/passthrough/exchange.rs
+++ b/src/process/passthrough/exchange.rs
@@ -78,6 +78,11 @@
     server.manage(source).mount("/exchange", routes![configuration, nodes])
 }
 
+/// A client for calls to other balancers, which are named by address.
+pub fn client() -> Client {
+    Client::builder().no_proxy().build().unwrap_or_default()
+}
+
 /// Fetches the configuration of another balancer.
 pub async fn fetch(
     client: &Client,
--- a/src/process/passthrough/status.rs
+++ b/src/process/passthrough/status.rs
@@ -2,11 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use futures_util::StreamExt;
-use futures_util::stream;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
-use reqwest::Client;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -18,9 +14,9 @@
 use crate::process::passthrough::exchange::AgentView;
 use crate::process::passthrough::exchange::BalancerView;
 use crate::process::passthrough::registration::NodeEntry;
-use crate::process::status::NODES_AT_ONCE;
 use crate::process::status::NodeStatus;
 use crate::process::status::Status;
+use crate::process::status::ask_all;
 use crate::process::store::Store;
 use crate::process::store::StoreSnapshot;
 
@@ -41,8 +37,16 @@
 ) -> Result<Status> {
     let stored = read_store(store, operator_items).await;
     let named = stored.balancers.iter().chain(seeds).copied().collect();
-    let mut unreachable = Vec::new();
-    let views = ask_all(named, &mut unreachable).await;
+    let client = exchange::client();
+    let (views, unreachable) = ask_all(
+        named,
+        async |address| exchange::fetch_view(&client, address).await,
+        |view: &BalancerView| view.balancers.clone(),
+    )
+    .await;
+    let mut unreachable: Vec<String> =
+        unreachable.iter().map(|(address, cause)| format!("{address}: {cause}")).collect();
+    unreachable.sort_unstable();
     if views.is_empty() {
         let message = "no balancer answers; set seeds".to_owned();
         return Err(Error::Admin { message });
@@ -83,37 +87,6 @@
     under.filter_map(|value| NodeEntry::decode(&value.value))
 }
 
-async fn ask_all(
-    mut due: IndexSet<SocketAddrV4>,
-    unreachable: &mut Vec<String>,
-) -> IndexMap<SocketAddrV4, BalancerView> {
-    let client = Client::builder().no_proxy().build().unwrap_or_default();
-    let mut views = IndexMap::new();
-    let mut asked: IndexSet<SocketAddrV4> = IndexSet::new();
-    while !due.is_empty() {
-        asked.extend(due.iter().copied());
-        let round: Vec<_> = stream::iter(std::mem::take(&mut due))
-            .map(|address| {
-                let client = &client;
-                async move { (address, exchange::fetch_view(client, address).await) }
-            })
-            .buffer_unordered(NODES_AT_ONCE)
-            .collect()
-            .await;
-        for (address, view) in round {
-            match view {
-                Ok(view) => {
-                    due.extend(view.balancers.iter().filter(|other| !asked.contains(*other)));
-                    views.insert(address, view);
-                }
-                Err(error) => unreachable.push(format!("{address}: {error}")),
-            }
-        }
-    }
-    unreachable.sort_unstable();
-    views
-}
-
 fn balancer_node(
     address: SocketAddrV4,
     view: &BalancerView,
--- a/src/process/status.rs
+++ b/src/process/status.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::error::EXIT_FAILURE;
+use crate::error::EXIT_SUCCESS;
 use crate::error::Error;
 use crate::error::Result;
 use crate::process::configuration::CONFIGURATION_PREFIX;
@@ -22,7 +24,7 @@
 const NODE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Nodes asked at once.
-pub const NODES_AT_ONCE: usize = 64;
+const NODES_AT_ONCE: usize = 64;
 
 /// Answer of one balancer.
 #[derive(Clone, Debug, Deserialize)]
@@ -95,6 +97,17 @@
             && !self.nodes.iter().any(|node| node.lags)
     }
 
+    /// Prints it for people or for programs, and returns the exit code.
+    pub fn print(&self, as_json: bool) -> i32 {
+        if as_json {
+            let text = serde_json::to_string_pretty(self).expect("a status always serialises");
+            println!("{text}");
+        } else {
+            print!("{}", self.to_text());
+        }
+        if self.is_current() { EXIT_SUCCESS } else { EXIT_FAILURE }
+    }
+
     /// Status as text for people.
     pub fn to_text(&self) -> String {
         let mut lines = Vec::new();
@@ -132,7 +145,14 @@
         unreachable: Vec::new(),
     };
     let digest = records.map(|records| format!("{:016x}", configuration_digest(records.iter())));
-    let answers = ask_all(seeds, &mut status.unreachable).await;
+    let client = reqwest::Client::new();
+    let (answers, unreachable) = ask_all(
+        seeds.iter().copied().collect(),
+        async |address| ask(&client, address).await,
+        |answer| answer.balancers.iter().map(|balancer| balancer.admin).collect(),
+    )
+    .await;
+    status.unreachable = unreachable.iter().map(|(address, _)| address.to_string()).collect();
     if answers.is_empty() {
         let message = "no balancer answers; set admin_seeds".to_owned();
         return Err(Error::Admin { message });
@@ -145,45 +165,41 @@
     Ok(status)
 }
 
-async fn ask_all(
-    seeds: &[SocketAddrV4],
-    unreachable: &mut Vec<String>,
-) -> IndexMap<SocketAddrV4, BalancerStatus> {
-    let client = reqwest::Client::new();
+/// Asks the named nodes, and whoever these name, each once; returns the answers, and the addresses that gave
+/// none with the cause.
+pub async fn ask_all<T>(
+    mut due: IndexSet<SocketAddrV4>,
+    ask: impl AsyncFn(SocketAddrV4) -> Result<T, String>,
+    others: impl Fn(&T) -> Vec<SocketAddrV4>,
+) -> (IndexMap<SocketAddrV4, T>, Vec<(SocketAddrV4, String)>) {
     let mut answers = IndexMap::new();
+    let mut unreachable = Vec::new();
     let mut asked: IndexSet<SocketAddrV4> = IndexSet::new();
-    let mut due: Vec<SocketAddrV4> = seeds.to_vec();
     while !due.is_empty() {
         asked.extend(due.iter().copied());
-        let round: Vec<_> = stream::iter(due.drain(..))
-            .map(|address| ask(&client, address))
+        let round: Vec<_> = stream::iter(std::mem::take(&mut due))
+            .map(async |address| (address, ask(address).await))
             .buffer_unordered(NODES_AT_ONCE)
             .collect()
             .await;
         for (address, answer) in round {
-            let Some(answer) = answer else {
-                unreachable.push(address.to_string());
-                continue;
-            };
-            let new = answer.balancers.iter().map(|balancer| balancer.admin);
-            due.extend(new.filter(|admin| !asked.contains(admin)));
-            answers.insert(address, answer);
+            match answer {
+                Ok(answer) => {
+                    due.extend(others(&answer).into_iter().filter(|other| !asked.contains(other)));
+                    answers.insert(address, answer);
+                }
+                Err(message) => unreachable.push((address, message)),
+            }
         }
         due.sort_unstable();
-        due.dedup();
     }
-    answers
+    (answers, unreachable)
 }
 
-async fn ask(
-    client: &reqwest::Client,
-    address: SocketAddrV4,
-) -> (SocketAddrV4, Option<BalancerStatus>) {
+async fn ask(client: &reqwest::Client, address: SocketAddrV4) -> Result<BalancerStatus, String> {
     let request = client.get(format!("http://{address}/status")).timeout(NODE_TIMEOUT);
-    let Ok(response) = request.send().await else {
-        return (address, None);
-    };
-    (address, response.json().await.ok())
+    let response = request.send().await.map_err(|error| error.to_string())?;
+    response.json().await.map_err(|error| error.to_string())
 }
 
 fn balancer_node(answer: &BalancerStatus, digest: Option<&str>) -> NodeStatus {
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -104,6 +104,13 @@
     offered: u32,
 }
 
+impl TargetEntry {
+    /// Whether the target has not ended.
+    fn may_hold_flows(&self) -> bool {
+        self.status.as_ref().is_none_or(|status| status.phase != TargetPhase::Ended)
+    }
+}
+
 /// Where an agent is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct KnownAgent<'a> {
@@ -331,10 +338,10 @@
     pub fn search(&self, services: &[&str], flow_hash: u64, now_ms: u64) -> Search {
         let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
-            let status = entry.status.as_ref();
-            if status.is_some_and(|status| status.phase == TargetPhase::Ended) {
+            if !entry.may_hold_flows() {
                 continue;
             }
+            let status = entry.status.as_ref();
             let service = status.map_or("", |status| status.service.as_str());
             let rank = services.iter().position(|name| *name == service);
             let rank = rank.unwrap_or(services.len());
@@ -357,9 +364,19 @@
         search
     }
 
+    /// How those agents are seen that may hold a flow and do not answer: awaited where one of them is;
+    /// `None` where all answer.
+    pub fn unanswered(&self, now_ms: u64) -> Option<Liveness> {
+        let holders = self.targets.values().filter(|entry| entry.may_hold_flows());
+        holders
+            .map(|entry| self.judge(entry, now_ms))
+            .filter(|liveness| *liveness != Liveness::Alive)
+            .min_by_key(|liveness| *liveness != Liveness::Awaited)
+    }
+
     /// Agents that do not answer, and how each is seen.
     pub fn unanswering(&self, now_ms: u64) -> Vec<(SocketAddrV4, Liveness)> {
-        let judged = self.targets.iter().map(|(data, entry)| (*data, self.judge(entry, now_ms)));
+        let judged = self.all(now_ms).map(|(data, _, liveness, _)| (data, liveness));
         judged.filter(|(_, liveness)| *liveness != Liveness::Alive).collect()
     }
 
@@ -380,9 +397,7 @@
 
     /// Whether a target of one of these services takes flows.
     pub fn takes_flows(&self, services: &[&str], now_ms: u64) -> bool {
-        self.any(services, now_ms, |phase| {
-            matches!(phase, TargetPhase::Serving | TargetPhase::Cold)
-        })
+        self.any(services, now_ms, TargetPhase::takes_flows)
     }
 
     /// Whether a target of one of these services is about to take flows.
@@ -429,9 +444,8 @@
     ) -> Option<Candidate<'a>> {
         let status = entry.status.as_ref()?;
         let is_cold = status.phase == TargetPhase::Cold;
-        let takes_flows = is_cold || status.phase == TargetPhase::Serving;
         let is_alive = self.judge(entry, now_ms) == Liveness::Alive;
-        if !takes_flows || !is_alive || status.service != service {
+        if !status.phase.takes_flows() || !is_alive || status.service != service {
             return None;
         }
         let flows = u64::from(status.flows + entry.offered);
