--- a/tests/models_reconnect.rs
+++ b/tests/models_reconnect.rs
@@ -15,21 +15,21 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rhubarbthread::connection::segment::Segment;
-use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::connection::target_gate::TargetReport;
 use rhubarbthread::process::passthrough::agent_state::AgentState;
 use rhubarbthread::process::passthrough::agent_state::Step;
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
 use rhubarbthread::process::passthrough::balancer_state::Forwarding;
 use rhubarbthread::process::passthrough::way::Way;
-use rhubarbthread::version::routing::Configuration;
-use rhubarbthread::version::routing::RouteRule;
-use rhubarbthread::version::routing::WeightedService;
 use rhubarbthread::version::target_table::TargetStatus;
 
 use crate::support::passthrough::address;
-use crate::support::passthrough::segment_of;
+use crate::support::passthrough::agent;
+use crate::support::passthrough::configuration_of;
+use crate::support::passthrough::opening_of;
+use crate::support::passthrough::status_of;
 
+const ROUTE: u16 = 443;
 const AGENTS: u8 = 5;
 const SLOTS: u32 = 5;
 
@@ -88,17 +88,6 @@
     most_at_target: usize,
 }
 
-fn configuration() -> Configuration {
-    let services = vec![WeightedService { service: "vypocet".to_owned(), weight: 1 }];
-    let rule = RouteRule { name: "vypocet".to_owned(), services, is_idempotent: true };
-    Configuration {
-        version: 1,
-        routes: IndexMap::from([(address(200, 443), rule)]),
-        services: IndexMap::new(),
-        idle_timeout_ms: 15_000,
-    }
-}
-
 fn last_of(agent: SocketAddrV4) -> u8 {
     agent.ip().octets()[3]
 }
@@ -107,9 +96,9 @@
     fn new() -> World {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         balancer.knows_all_agents = true;
-        balancer.routing.apply_configuration(configuration(), 10);
+        balancer.routing.apply_configuration(configuration_of(1, "vypocet", &[(ROUTE, true)]), 10);
         for last in 1..=AGENTS {
-            balancer.targets.learn(address(last, 8172), address(last, 7720), "a", 0);
+            balancer.targets.learn(agent(last), address(last, 7720), "a", 0);
         }
         World {
             now_ms: 0,
@@ -148,17 +137,11 @@
     fn tell(&mut self, last: u8) {
         let agent = &mut self.agents[&last];
         let status = TargetStatus {
-            data: address(last, 8172),
-            control: address(last, 7720),
-            lifetime: 1,
             sequence: self.now_ms + 1,
-            zone: "a".to_owned(),
-            service: "vypocet".to_owned(),
-            phase: TargetPhase::Serving,
             slots: SLOTS,
             flows: agent.flows.open(),
             busy: agent.flows.busy(),
-            is_stopping: false,
+            ..status_of(last, "a", "vypocet")
         };
         self.balancer.targets.update(status, 0, self.now_ms);
     }
@@ -167,7 +150,7 @@
     fn ask(&mut self, port: u16, since_ms: u64, tries: u32) {
         self.asked.insert(port, Asked { since_ms, tries, accepted: false, answered_ms: None });
         for (copy, delay_ms) in (0..).zip(COPIES_MS) {
-            let segment = Segment { opens: true, copy, ..segment_of(443, port) };
+            let segment = Segment { copy, ..opening_of(ROUTE, port) };
             self.after(delay_ms + DELAY_MS, Event::Caller { segment });
         }
     }
@@ -216,7 +199,7 @@
                         self.after(DELAY_MS, Event::Agent { last, segment, way });
                     }
                     Step::GiveBack { search, met_full, .. } => {
-                        let agent = address(last, 8172);
+                        let agent = agent(last);
                         let event = Event::Balancer { segment, agent, search, met_full };
                         self.after(DELAY_MS, event);
                     }
@@ -248,7 +231,7 @@
         let accepts = Segment { accepts: true, opens: false, sequence: 7, ..segment };
         self.agents[&last].from_target(&accepts, self.now_ms);
         let flow = segment.flow;
-        self.balancer.found.found(flow, address(last, 8172), false, self.now_ms + DELAY_MS);
+        self.balancer.found.found(flow, agent(last), false, self.now_ms + DELAY_MS);
         let asked = self.asked.get_mut(&flow.caller.port());
         if let Some(asked) = asked.filter(|asked| !asked.accepted) {
             asked.accepted = true;
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -8,7 +8,6 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rhubarbthread::connection::segment::Segment;
-use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
 use rhubarbthread::process::passthrough::balancer_state::DropReason;
 use rhubarbthread::process::passthrough::balancer_state::Forwarding;
@@ -19,60 +18,23 @@
 use rhubarbthread::version::balancer_table::KEEPERS;
 use rhubarbthread::version::routing::Applied;
 use rhubarbthread::version::routing::Configuration;
-use rhubarbthread::version::routing::RouteRule;
-use rhubarbthread::version::routing::ServiceLimits;
-use rhubarbthread::version::routing::WeightedService;
 use rhubarbthread::version::target_table::HOLD_MS;
 use rhubarbthread::version::target_table::Liveness;
 use rhubarbthread::version::target_table::SILENCE_MS;
 use rhubarbthread::version::target_table::TargetStatus;
 
 use crate::support::passthrough::address;
+use crate::support::passthrough::agent;
+use crate::support::passthrough::configuration_of;
+use crate::support::passthrough::opening_of;
 use crate::support::passthrough::segment_of;
+use crate::support::passthrough::status_of;
 
 const IDEMPOTENT: u16 = 443;
 const ONCE: u16 = 8080;
 
-fn agent(last: u8) -> SocketAddrV4 {
-    address(last, 8172)
-}
-
-fn opening(route_port: u16, caller_port: u16) -> Segment {
-    Segment { opens: true, ..segment_of(route_port, caller_port) }
-}
-
-fn rule(service: &str, is_idempotent: bool) -> RouteRule {
-    let services = vec![WeightedService { service: service.to_owned(), weight: 1 }];
-    RouteRule { name: service.to_owned(), services, is_idempotent }
-}
-
 fn configuration(version: u64, service: &str) -> Configuration {
-    let limits = ServiceLimits { max_flows: 100, cold_openings_per_s: None };
-    Configuration {
-        version,
-        routes: IndexMap::from([
-            (address(200, IDEMPOTENT), rule(service, true)),
-            (address(200, ONCE), rule(service, false)),
-        ]),
-        services: IndexMap::from([("vypocet".to_owned(), limits), ("zpravy".to_owned(), limits)]),
-        idle_timeout_ms: 15_000,
-    }
-}
-
-fn status(last: u8, zone: &str, service: &str) -> TargetStatus {
-    TargetStatus {
-        data: agent(last),
-        control: address(last, 7720),
-        lifetime: u64::from(last),
-        sequence: 1,
-        zone: zone.to_owned(),
-        service: service.to_owned(),
-        phase: TargetPhase::Serving,
-        slots: 4,
-        flows: 0,
-        busy: 0,
-        is_stopping: false,
-    }
+    configuration_of(version, service, &[(IDEMPOTENT, true), (ONCE, false)])
 }
 
 /// A balancer in zone `a` that knows two targets in each of the zones `a` and `b`, and one of another
@@ -82,11 +44,11 @@
     balancer.knows_all_agents = true;
     balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
     for status in [
-        status(11, "a", "vypocet"),
-        status(12, "a", "vypocet"),
-        status(21, "b", "vypocet"),
-        status(22, "b", "vypocet"),
-        status(13, "a", "zpravy"),
+        status_of(11, "a", "vypocet"),
+        status_of(12, "a", "vypocet"),
+        status_of(21, "b", "vypocet"),
+        status_of(22, "b", "vypocet"),
+        status_of(13, "a", "zpravy"),
     ] {
         balancer.targets.update(status, 0, 0);
     }
@@ -103,6 +65,11 @@
     }
 }
 
+/// Offers an opening, and returns the agent at the end of its chain and the number of the offer.
+fn offer(balancer: &mut BalancerState, now_ms: u64) -> (SocketAddrV4, u32) {
+    searches(&balancer.forward(&opening_of(IDEMPOTENT, 1), now_ms))[0]
+}
+
 fn searches(forwarding: &Forwarding) -> Vec<(SocketAddrV4, u32)> {
     match forwarding {
         Forwarding::Send(ways) | Forwarding::SendAndWait(ways) => ways
@@ -131,7 +98,7 @@
     for other in [11, 12, 21, 22, 13].into_iter().filter(|other| *other != last) {
         let service = if other == 13 { "zpravy" } else { "vypocet" };
         let zone = if other > 20 { "b" } else { "a" };
-        let status = TargetStatus { sequence: now_ms, ..status(other, zone, service) };
+        let status = TargetStatus { sequence: now_ms, ..status_of(other, zone, service) };
         balancer.targets.update(status, 0, now_ms);
     }
     now_ms
@@ -155,16 +122,16 @@
 cases! {
     without_a_configuration_nothing_is_decided: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
-        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 0);
+        let forwarding = balancer.forward(&opening_of(IDEMPOTENT, 1), 0);
         assert_eq!(forwarding, Forwarding::Wait(WaitReason::NoConfiguration));
     };
     an_unknown_route_is_refused_at_once: {
-        let forwarding = balancer().forward(&opening(9999, 1), 1);
+        let forwarding = balancer().forward(&opening_of(9999, 1), 1);
         assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoRoute));
     };
     an_opening_stays_in_its_zone_and_its_service: {
         for port in 1..200 {
-            let ways = ways(balancer().forward(&opening(IDEMPOTENT, port), 1));
+            let ways = ways(balancer().forward(&opening_of(IDEMPOTENT, port), 1));
             assert_eq!(ways.len(), 1);
             assert!([agent(11), agent(12)].contains(&ways[0][0]), "{ways:?}");
             assert!(!ways[0].contains(&agent(13)), "{ways:?}");
@@ -173,17 +140,17 @@
     openings_spill_over_as_the_zone_fills_up: {
         let mut balancer = balancer();
         for last in [11, 12] {
-            let full = TargetStatus { sequence: 2, flows: 40, busy: 4, ..status(last, "a", "vypocet") };
+            let full = TargetStatus { sequence: 2, flows: 40, busy: 4, ..status_of(last, "a", "vypocet") };
             balancer.targets.update(full, 0, 1);
         }
-        let first = ways(balancer.forward(&opening(IDEMPOTENT, 1), 2))[0][0];
+        let first = ways(balancer.forward(&opening_of(IDEMPOTENT, 1), 2))[0][0];
         assert!([agent(21), agent(22)].contains(&first), "{first}");
     };
     openings_in_a_burst_are_shared_without_news_of_load: {
         let mut balancer = balancer();
         let mut counts: IndexMap<SocketAddrV4, u32> = IndexMap::new();
         for port in 1..=400 {
-            *counts.entry(ways(balancer.forward(&opening(IDEMPOTENT, port), 1))[0][0]).or_default() += 1;
+            *counts.entry(ways(balancer.forward(&opening_of(IDEMPOTENT, port), 1))[0][0]).or_default() += 1;
         }
         let busiest = counts.values().max().copied().unwrap_or(0);
         assert!(busiest <= 220, "at most 1.10 of the mean of 200: {counts:?}");
@@ -192,57 +159,54 @@
         let mut balancer = balancer();
         balancer.routing.apply_zone("a", true, 11);
         for port in 1..50 {
-            let chain = ways(balancer.forward(&opening(IDEMPOTENT, port), 1)).remove(0);
+            let chain = ways(balancer.forward(&opening_of(IDEMPOTENT, port), 1)).remove(0);
             assert!(chain.iter().all(|hop| [agent(21), agent(22)].contains(hop)), "{chain:?}");
         }
     };
     a_copy_of_an_opening_tries_another_agent_first: {
         let mut balancer = balancer();
-        let first = ways(balancer.forward(&opening(IDEMPOTENT, 1), 1))[0][0];
-        let copy = Segment { copy: 1, ..opening(IDEMPOTENT, 1) };
+        let first = ways(balancer.forward(&opening_of(IDEMPOTENT, 1), 1))[0][0];
+        let copy = Segment { copy: 1, ..opening_of(IDEMPOTENT, 1) };
         assert_ne!(ways(balancer.forward(&copy, 201))[0][0], first);
     };
     a_copy_of_an_opening_that_was_taken_goes_there: {
         let mut balancer = balancer();
-        let flow = opening(IDEMPOTENT, 1).flow;
+        let flow = opening_of(IDEMPOTENT, 1).flow;
         balancer.found.found(flow, agent(12), true, 1);
-        let copy = Segment { copy: 1, ..opening(IDEMPOTENT, 1) };
+        let copy = Segment { copy: 1, ..opening_of(IDEMPOTENT, 1) };
         assert_eq!(ways(balancer.forward(&copy, 201))[0][0], agent(12));
     };
     an_opening_that_all_refuse_is_refused_at_once: {
         let mut balancer = balancer();
-        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
-        let (last, search) = searches(&forwarding)[0];
-        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, false, 20);
+        let (last, search) = offer(&mut balancer, 1);
+        let forwarding = balancer.take_back(&opening_of(IDEMPOTENT, 1), last, search, false, 20);
         assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoTarget));
     };
     a_late_refusal_ends_no_flow_that_a_copy_has_opened: {
         // An agent that was starting refused the first copy 212 ms later; the second was taken by then.
         let mut balancer = balancer();
-        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
-        let (last, search) = searches(&forwarding)[0];
-        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, false, 213);
+        let (last, search) = offer(&mut balancer, 1);
+        let forwarding = balancer.take_back(&opening_of(IDEMPOTENT, 1), last, search, false, 213);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::LateRefusal));
     };
     a_refusal_of_an_earlier_copy_ends_no_flow: {
         let mut balancer = balancer();
-        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
-        let (last, search) = searches(&forwarding)[0];
-        balancer.forward(&Segment { copy: 1, ..opening(IDEMPOTENT, 1) }, 100);
-        let forwarding = balancer.take_back(&opening(IDEMPOTENT, 1), last, search, false, 101);
+        let (last, search) = offer(&mut balancer, 1);
+        balancer.forward(&Segment { copy: 1, ..opening_of(IDEMPOTENT, 1) }, 100);
+        let forwarding = balancer.take_back(&opening_of(IDEMPOTENT, 1), last, search, false, 101);
         assert_eq!(forwarding, Forwarding::Drop(DropReason::LateRefusal));
     };
     nobody_who_takes_flows_is_a_refusal_at_once: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
-        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
+        let forwarding = balancer.forward(&opening_of(IDEMPOTENT, 1), 1);
         assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoTarget));
     };
     while_agents_are_starting_an_opening_is_not_refused: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
         balancer.targets.learn(agent(11), address(11, 7720), "a", 0);
-        let forwarding = balancer.forward(&opening(IDEMPOTENT, 1), 1);
+        let forwarding = balancer.forward(&opening_of(IDEMPOTENT, 1), 1);
         assert_eq!(forwarding, Forwarding::Wait(WaitReason::NoTargetYet));
     };
     a_found_flow_goes_straight_to_its_agent: {
@@ -280,7 +244,7 @@
                 21 => ("b", "vypocet"),
                 _ => ("a", "vypocet"),
             };
-            let answer = TargetStatus { sequence: 9, ..status(last, zone, service) };
+            let answer = TargetStatus { sequence: 9, ..status_of(last, zone, service) };
             balancer.targets.update(answer, 0, 952);
         }
         assert_eq!(balancer.targets.take_due_probes(true, not_kept, 1_250), [agent(22)]);
@@ -372,7 +336,7 @@
     an_agent_that_stops_for_a_moment_proves_nothing: {
         let mut balancer = balancer();
         let stopping =
-            TargetStatus { is_stopping: true, sequence: 2, ..status(22, "b", "vypocet") };
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
         balancer.targets.update(stopping, 0, 1);
         for route in [ONCE, IDEMPOTENT] {
             let forwarding = give_all_back(&mut balancer, &segment_of(route, 1), 2);
@@ -383,7 +347,7 @@
     while_an_agent_stops_a_flow_is_searched_for_twice_and_no_more: {
         let mut balancer = balancer();
         let stopping =
-            TargetStatus { is_stopping: true, sequence: 2, ..status(22, "b", "vypocet") };
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
         balancer.targets.update(stopping, 0, 1);
         let counted = |balancer: &mut BalancerState, now_ms| {
             let forwarding = balancer.forward(&segment_of(ONCE, 1), now_ms);
@@ -449,9 +413,9 @@
     };
     a_late_status_of_an_earlier_run_changes_nothing: {
         let mut balancer = balancer();
-        let fresh = TargetStatus { lifetime: 99, ..status(11, "a", "vypocet") };
+        let fresh = TargetStatus { lifetime: 99, ..status_of(11, "a", "vypocet") };
         balancer.targets.update(fresh, 0, 1);
-        let late = TargetStatus { is_stopping: true, sequence: 9, ..status(11, "a", "vypocet") };
+        let late = TargetStatus { is_stopping: true, sequence: 9, ..status_of(11, "a", "vypocet") };
         assert!(!balancer.targets.update(late, 0, 2));
         assert_eq!(balancer.targets.liveness(agent(11), 3), Some(Liveness::Alive));
     };
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -23,6 +23,7 @@
 use rhubarbthread::process::passthrough::way::Way;
 
 use crate::support::passthrough::address;
+use crate::support::passthrough::opening_of;
 use crate::support::passthrough::segment_of;
 
 /// Time after which an address is used by another service, less a tenth, in milliseconds.
@@ -58,7 +59,7 @@
 }
 
 fn opening(port: u16) -> Segment {
-    Segment { opens: true, ..segment(port) }
+    opening_of(443, port)
 }
 
 fn way(chain: &[SocketAddrV4], search: u32) -> Way {
--- a/tests/passthrough_waiting.rs
+++ b/tests/passthrough_waiting.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddrV4;
 
-use indexmap::IndexMap;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::connection::waiting_segments::MAX_OF_FLOW;
@@ -18,52 +17,31 @@
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
 use rhubarbthread::process::passthrough::balancer_state::WaitReason;
 use rhubarbthread::version::routing::Configuration;
-use rhubarbthread::version::routing::RouteRule;
-use rhubarbthread::version::routing::WeightedService;
 use rhubarbthread::version::target_table::TargetStatus;
 
 use crate::support::passthrough::address;
+use crate::support::passthrough::agent;
+use crate::support::passthrough::configuration_of;
+use crate::support::passthrough::opening_of;
 use crate::support::passthrough::segment_of;
+use crate::support::passthrough::status_of;
 
 const ROUTE: u16 = 443;
 
-fn agent(last: u8) -> SocketAddrV4 {
-    address(last, 8172)
-}
-
 fn segment(port: u16) -> Segment {
     segment_of(ROUTE, port)
 }
 
 fn opening(port: u16) -> Segment {
-    Segment { opens: true, ..segment(port) }
+    opening_of(ROUTE, port)
 }
 
 fn status(last: u8, phase: TargetPhase, sequence: u64) -> TargetStatus {
-    TargetStatus {
-        data: agent(last),
-        control: address(last, 7720),
-        lifetime: u64::from(last),
-        sequence,
-        zone: "a".to_owned(),
-        service: "vypocet".to_owned(),
-        phase,
-        slots: 4,
-        flows: 0,
-        busy: 0,
-        is_stopping: false,
-    }
+    TargetStatus { phase, sequence, ..status_of(last, "a", "vypocet") }
 }
 
 fn configuration() -> Configuration {
-    let services = vec![WeightedService { service: "vypocet".to_owned(), weight: 1 }];
-    let rule = RouteRule { name: "vypocet".to_owned(), services, is_idempotent: false };
-    Configuration {
-        version: 1,
-        routes: IndexMap::from([(address(200, ROUTE), rule)]),
-        services: IndexMap::new(),
-        idle_timeout_ms: 15_000,
-    }
+    configuration_of(1, "vypocet", &[(ROUTE, false)])
 }
 
 /// A balancer with a configuration and these agents, whose targets are in this phase.
--- a/tests/support/passthrough.rs
+++ b/tests/support/passthrough.rs
@@ -3,14 +3,26 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
+use indexmap::IndexMap;
 use rhubarbthread::connection::flow_key::FlowKey;
 use rhubarbthread::connection::segment::Segment;
+use rhubarbthread::connection::target_gate::TargetPhase;
+use rhubarbthread::version::routing::Configuration;
+use rhubarbthread::version::routing::RouteRule;
+use rhubarbthread::version::routing::ServiceLimits;
+use rhubarbthread::version::routing::WeightedService;
+use rhubarbthread::version::target_table::TargetStatus;
 
 /// A port of a host.
 pub fn address(last: u8, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
 }
 
+/// Where an agent takes segments.
+pub fn agent(last: u8) -> SocketAddrV4 {
+    address(last, 8172)
+}
+
 /// A caller's segment without data, of the flow from its port to the route's.
 pub fn segment_of(route_port: u16, caller_port: u16) -> Segment {
     Segment {
@@ -27,3 +39,44 @@
         slot: 0,
     }
 }
+
+/// The segment that opens the flow from a caller's port to the route's.
+pub fn opening_of(route_port: u16, caller_port: u16) -> Segment {
+    Segment { opens: true, ..segment_of(route_port, caller_port) }
+}
+
+/// The first status of an idle target that takes flows.
+pub fn status_of(last: u8, zone: &str, service: &str) -> TargetStatus {
+    TargetStatus {
+        data: agent(last),
+        control: address(last, 7720),
+        lifetime: u64::from(last),
+        sequence: 1,
+        zone: zone.to_owned(),
+        service: service.to_owned(),
+        phase: TargetPhase::Serving,
+        slots: 4,
+        flows: 0,
+        busy: 0,
+        is_stopping: false,
+    }
+}
+
+/// A configuration of two services, with a route to one of them from each of these ports, and whether
+/// its requests may be repeated.
+pub fn configuration_of(version: u64, service: &str, routes: &[(u16, bool)]) -> Configuration {
+    let limits = ServiceLimits { max_flows: 100, cold_openings_per_s: None };
+    let rule = |is_idempotent| RouteRule {
+        name: service.to_owned(),
+        services: vec![WeightedService { service: service.to_owned(), weight: 1 }],
+        is_idempotent,
+    };
+    let routes =
+        routes.iter().map(|(port, is_idempotent)| (address(200, *port), rule(*is_idempotent)));
+    Configuration {
+        version,
+        routes: routes.collect(),
+        services: IndexMap::from([("vypocet".to_owned(), limits), ("zpravy".to_owned(), limits)]),
+        idle_timeout_ms: 15_000,
+    }
+}
