Balancers tell a few neighbours what changes, and the rest in turn

Now a state fits one datagram and goes to three neighbours in the zone, at growing distances, and two in other zones. What changes (a phase, a service, a run, a silence) is told at once and passed on by whoever it is new to; two balancers and two agents in turn, and the loads of the zone, mend what was lost. An agent that a balancer doesn't probe counts as alive while a balancer of its zone is heard and nobody misses it; who is missed is probed directly before it counts as silent, so no flow is reset on another's word. A balancer watches those that promised it their next state, asks what is overdue, and what is told wrongly is refuted by a later stamp. Runs of an agent are ordered by their start; one whose clock went back learns of the later number from a probe.

--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
@@ -27,6 +26,7 @@
 use crate::process::admin;
 use crate::process::clock::BootClock;
 use crate::process::clock::Clock;
+use crate::process::clock::fresh_incarnation;
 use crate::process::daemon::run_on_one_thread;
 use crate::process::events::Event;
 use crate::process::passthrough::Platform;
@@ -76,7 +76,8 @@
     pub(super) seeds: Seeds,
     pub(super) platform: Platform,
     clock: BootClock,
-    lifetime: u64,
+    /// Number of this run; raised above that of an earlier run at whose time the clock was ahead.
+    lifetime: AtomicU64,
     sequence: AtomicU64,
     state: Mutex<AgentState>,
     balancers: Mutex<IndexMap<SocketAddrV4, u64>>,
@@ -98,7 +99,7 @@
     // The address may belong to another service from then on; a tenth is the margin.
     let silence_ms = settings.address_reuse_ms - settings.address_reuse_ms / 10;
     let shared = Arc::new(Shared {
-        lifetime: rand::rng().random(),
+        lifetime: AtomicU64::new(fresh_incarnation()),
         sequence: AtomicU64::new(0),
         state: Mutex::new(AgentState::new(silence_ms, clock.now_ms())),
         clock,
@@ -183,7 +184,7 @@
         NodeMessage::Status(TargetStatus {
             data: self.settings.node.data_address,
             control: self.settings.node.control_address,
-            lifetime: self.lifetime,
+            lifetime: self.lifetime.load(Ordering::Relaxed),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             zone: self.settings.node.availability_zone.clone(),
             service: known.map_or_else(String::new, |report| report.service.clone()),
@@ -278,6 +279,11 @@
         };
         let now_ms = shared.now_ms();
         shared.balancers().insert(probe.balancer, now_ms);
+        let own_lifetime = shared.lifetime.load(Ordering::Relaxed);
+        if probe.known_lifetime > own_lifetime {
+            shared.lifetime.store(probe.known_lifetime + 1, Ordering::Relaxed);
+            shared.changed.notify_one();
+        }
         let has_new_phase = {
             let mut state = shared.state();
             let before = state.phase(now_ms);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -30,6 +30,8 @@
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
 use crate::process::passthrough::balancer_forwarding;
+use crate::process::passthrough::balancer_peers;
+use crate::process::passthrough::balancer_peers::Changes;
 use crate::process::passthrough::balancer_state::BalancerState;
 use crate::process::passthrough::balancer_store;
 use crate::process::passthrough::balancer_waiting;
@@ -89,6 +91,8 @@
     pub(super) items: Mutex<IndexMap<String, (Vec<u8>, u64)>>,
     pub(super) peers: Mutex<BalancerTable>,
     pub(super) is_stopping: AtomicBool,
+    pub(super) changes: Mutex<Changes>,
+    pub(super) changes_soon: Notify,
     pub(super) probe_soon: Notify,
     pub(super) release_soon: Notify,
     /// Since when this process has not stood still.
@@ -119,6 +123,8 @@
         items: Mutex::default(),
         peers: Mutex::new(peers),
         is_stopping: AtomicBool::new(false),
+        changes: Mutex::default(),
+        changes_soon: Notify::new(),
         probe_soon: Notify::new(),
         release_soon: Notify::new(),
         has_read_nodes: AtomicBool::new(false),
@@ -146,6 +152,7 @@
     tokio::spawn(balancer_forwarding::forward_segments(Arc::clone(&shared)));
     tokio::spawn(balancer_waiting::release_waiting(Arc::clone(&shared)));
     tokio::spawn(read_control(Arc::clone(&shared)));
+    tokio::spawn(balancer_peers::tell_changes(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_nodes(Arc::clone(&shared)));
@@ -179,8 +186,13 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn changes(&self) -> MutexGuard<'_, Changes> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn probe_for(&self, state: &BalancerState, agent: KnownAgent<'_>) -> Probe {
-        let service = state.targets.status(agent.data).map_or("", |status| status.service.as_str());
+        let status = state.targets.status(agent.data);
+        let service = status.map_or("", |status| status.service.as_str());
         let configuration = state.routing.configuration();
         let limits = configuration.and_then(|configuration| configuration.services.get(service));
         Probe {
@@ -193,6 +205,7 @@
                 max_flows: limits.map_or(u32::MAX, |limits| limits.max_flows),
             },
             idle_timeout_ms: configuration.map_or(0, |held| held.idle_timeout_ms),
+            known_lifetime: status.map_or(0, |status| status.lifetime),
         }
     }
 
@@ -231,7 +244,7 @@
             let peers = self.peers();
             let zone = &self.settings.node.availability_zone;
             let keeps = |agent, agent_zone: &str| agent_zone == zone && peers.keeps(agent, now_ms);
-            self.state().targets.take_due_probes(is_round, keeps, now_ms)
+            self.state().targets.take_due_probes(is_round, keeps, zone, now_ms)
         };
         self.probe(&due).await;
     }
@@ -249,32 +262,30 @@
     }
 
     async fn take_status_of_agent(&self, status: TargetStatus) {
-        let (data, phase) = (status.data, status.phase);
-        let is_changed = self.take_status(status.clone(), 0);
+        let (data, lifetime, phase) = (status.data, status.lifetime, status.phase);
+        let is_changed = self.state().targets.update(status.clone(), 0, self.now_ms());
         if is_changed {
-            self.spread(status).await;
+            self.note_change(&status, false);
         }
-        // The agent waits for an answer, or for the limits of the service that it has just named.
-        if is_changed || phase == TargetPhase::Introducing {
+        // The agent waits for an answer, or for the limits of the service that it has just named; or it has
+        // to hear of a run that counts as later than its own.
+        let is_overtaken =
+            self.state().targets.status(data).is_some_and(|held| held.lifetime > lifetime);
+        if is_changed || is_overtaken || phase == TargetPhase::Introducing {
             self.probe(&[data]).await;
         }
     }
 
-    /// Takes over a status; says whether it tells something new.
-    pub(super) fn take_status(&self, status: TargetStatus, age_ms: u64) -> bool {
-        let now_ms = self.now_ms();
-        let (data, lifetime, phase) = (status.data, status.lifetime, status.phase);
-        let is_stopping = status.is_stopping;
-        let is_changed = self.state().targets.update(status, age_ms, now_ms);
-        if is_changed {
-            log_event!(
-                Event::TargetChanged,
-                "agent={data} phase={phase:?} stopping={is_stopping} lifetime={lifetime:x} \
-                 age_ms={age_ms}"
-            );
-            self.release_soon.notify_one();
-        }
-        is_changed
+    /// An agent has changed, by its own word or another's: the others have to hear of it.
+    pub(super) fn note_change(&self, status: &TargetStatus, is_silent: bool) {
+        let TargetStatus { data, phase, is_stopping, lifetime, .. } = status;
+        log_event!(
+            Event::TargetChanged,
+            "agent={data} phase={phase:?} stopping={is_stopping} silent={is_silent} \
+             lifetime={lifetime:x}"
+        );
+        self.note_changed_target(*data);
+        self.release_soon.notify_one();
     }
 }
 
@@ -345,6 +356,7 @@
         let is_state_due = now_ms - told_ms >= STATE_INTERVAL_MS;
         if is_state_due {
             told_ms = now_ms;
+            shared.note_silent(now_ms).await;
             shared.send_state().await;
         }
         if is_state_due || shared.is_uninformed(now_ms) {
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -1,20 +1,101 @@
 //! What a balancer tells the others, asks them and hears from them.
+//!
+//! Each state goes to a few neighbours and fits one datagram. What changes is told at once and passed on
+//! by whoever it is new to; the rest is told in turn, which mends what was lost.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use indexmap::IndexSet;
+use tokio::time::sleep;
+
+use crate::process::clock::wall_ms;
 use crate::process::passthrough::balancer::Shared;
 use crate::process::passthrough::datagrams::send_to_all;
 use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::version::balancer_table::BalancerNews;
-use crate::version::target_table::TargetStatus;
+use crate::version::balancer_table::Heard;
+use crate::version::target_table::TargetLoad;
+use crate::version::target_table::TargetNews;
+
+/// Most balancers in one state: 45 bytes each, of the 1,200 of a datagram.
+const MAX_BALANCERS: usize = 4;
+
+/// Most agents in one state: 75 bytes each.
+const MAX_TARGETS: usize = 8;
+
+/// Balancers in a state that tells of no change.
+const BALANCERS_IN_TURN: usize = 2;
+
+/// Agents in a state that tells of no change.
+const TARGETS_IN_TURN: usize = 2;
+
+/// Loads in a state to a balancer of the same zone: 16 bytes each.
+const MAX_LOADS: usize = 32;
+
+/// Pause before changes are told, so that several go in one datagram.
+const CHANGES_PAUSE: Duration = Duration::from_millis(20);
+
+/// What others have to hear of at once.
+#[derive(Debug, Default)]
+pub(super) struct Changes {
+    balancers: IndexSet<SocketAddrV4>,
+    targets: IndexSet<SocketAddrV4>,
+}
+
+/// What one state tells of others.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    balancers: Vec<BalancerNews>,
+    targets: Vec<TargetNews>,
+    loads: Vec<TargetLoad>,
+    asks: bool,
+    follows: Option<bool>,
+}
+
+impl Told {
+    /// Shares all that is to be told out to datagrams.
+    fn in_parts(balancers: &[BalancerNews], targets: &[TargetNews]) -> Vec<Told> {
+        let parts =
+            balancers.len().div_ceil(MAX_BALANCERS).max(targets.len().div_ceil(MAX_TARGETS));
+        let mut balancers = balancers.chunks(MAX_BALANCERS);
+        let mut targets = targets.chunks(MAX_TARGETS);
+        let mut part = || Told {
+            balancers: balancers.next().unwrap_or_default().to_vec(),
+            targets: targets.next().unwrap_or_default().to_vec(),
+            ..Told::default()
+        };
+        (0..parts).map(|_| part()).collect()
+    }
+}
 
 impl Shared {
-    /// Tells the balancers that should hear of this one how it sees the others and the agents.
+    /// Tells the neighbours how this balancer sees some of the others and of the agents.
     pub(super) async fn send_state(&self) {
-        let receivers = self.peers().receivers(self.now_ms());
-        self.send_state_to(&receivers, false).await;
+        let now_ms = self.now_ms();
+        let ((neighbours, dropped), balancers) = {
+            let mut peers = self.peers();
+            (peers.take_neighbours(now_ms), peers.next_news(BALANCERS_IN_TURN, now_ms))
+        };
+        let (targets, loads) = {
+            let zone = &self.settings.node.availability_zone;
+            let targets = &mut self.state().targets;
+            (
+                targets.next_news(TARGETS_IN_TURN, now_ms),
+                targets.next_loads(zone, MAX_LOADS, now_ms),
+            )
+        };
+        let (near, far): (Vec<SocketAddrV4>, Vec<SocketAddrV4>) = {
+            let peers = self.peers();
+            neighbours.into_iter().partition(|neighbour| peers.is_in_zone(*neighbour))
+        };
+        let told = Told { balancers, targets, follows: Some(true), ..Told::default() };
+        self.tell(&dropped, Told { follows: Some(false), ..Told::default() }).await;
+        self.tell(&far, told.clone()).await;
+        self.tell(&near, Told { loads, ..told }).await;
     }
 
     /// Whether this balancer has only just started, or stood still, and others can tell it more.
@@ -33,75 +114,159 @@
             let own = self.settings.node.control_address;
             asked.extend(self.seeds.at_port(own.port()).into_iter().filter(|seed| *seed != own));
         }
-        self.send_state_to(&asked, true).await;
+        self.tell(&asked, Told { asks: true, ..Told::default() }).await;
     }
 
-    async fn send_state_to(&self, receivers: &[SocketAddrV4], asks: bool) {
-        if receivers.is_empty() {
-            return;
+    /// Notes that the others should hear of an agent.
+    pub(super) fn note_changed_target(&self, data: SocketAddrV4) {
+        self.changes().targets.insert(data);
+        self.changes_soon.notify_one();
+    }
+
+    /// Notes that the others should hear of a balancer.
+    fn note_changed_balancer(&self, control: SocketAddrV4) {
+        self.changes().balancers.insert(control);
+        self.changes_soon.notify_one();
+    }
+
+    /// Asks balancers that are overdue, and notes who has fallen silent towards this one.
+    pub(super) async fn note_silent(&self, now_ms: u64) {
+        for data in self.state().targets.take_silent(now_ms) {
+            self.note_changed_target(data);
+        }
+        let missing = self.peers().take_missing(now_ms);
+        for control in missing.silent {
+            self.note_changed_balancer(control);
+        }
+        for news in missing.overdue {
+            let control = news.control;
+            self.tell(&[control], Told { balancers: vec![news], ..Told::default() }).await;
         }
-        let now_ms = self.now_ms();
-        let targets = {
-            let state = self.state();
-            state.targets.news(now_ms).map(|(status, age_ms)| (status.clone(), age_ms)).collect()
-        };
-        let balancers = self.peers().news(now_ms).collect();
-        self.tell(receivers, balancers, targets, asks).await;
     }
 
-    /// Tells the others at once of an agent that has changed.
-    pub(super) async fn spread(&self, status: TargetStatus) {
+    /// Tells one balancer all that this one knows.
+    async fn answer(&self, receiver: SocketAddrV4) {
         let now_ms = self.now_ms();
-        let receivers = self.peers().change_receivers(status.data, &status.zone, now_ms);
-        self.tell(&receivers, Vec::new(), vec![(status, 0)], false).await;
+        let balancers: Vec<BalancerNews> = self.peers().news(now_ms).collect();
+        let targets: Vec<TargetNews> = self.state().targets.news(now_ms).collect();
+        let parts = Told::in_parts(&balancers, &targets);
+        // Where nothing is known, the receiver still learns that somebody is here.
+        for told in if parts.is_empty() { vec![Told::default()] } else { parts } {
+            self.tell(&[receiver], told).await;
+        }
     }
 
-    async fn tell(
-        &self,
-        receivers: &[SocketAddrV4],
-        balancers: Vec<BalancerNews>,
-        targets: Vec<(TargetStatus, u64)>,
-        asks: bool,
-    ) {
+    async fn tell(&self, receivers: &[SocketAddrV4], told: Told) {
+        if receivers.is_empty() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let (stamp, zones) = {
+            let mut peers = self.peers();
+            (peers.next_stamp(wall_ms()), peers.zone_news(now_ms))
+        };
         let message = NodeMessage::Balancer(message::BalancerState {
             control: self.settings.node.control_address,
             exchange: self.settings.exchange_address,
             zone: self.settings.node.availability_zone.clone(),
             newest_change: self.state().routing.newest_change(),
-            balancers,
-            targets,
+            stamp,
+            zones,
+            balancers: told.balancers,
+            targets: told.targets,
+            loads: told.loads,
             is_stopping: self.is_stopping.load(Ordering::Relaxed),
-            asks,
+            asks: told.asks,
+            follows: told.follows,
         });
         send_to_all(&self.control, &message.encode(), receivers).await;
     }
 
     pub(super) async fn take_balancer(&self, message: message::BalancerState) {
         let now_ms = self.now_ms();
+        let sender = BalancerNews {
+            control: message.control,
+            exchange: message.exchange,
+            zone: message.zone,
+            stamp: message.stamp,
+            is_silent: message.is_stopping,
+        };
+        let own = self.settings.node.control_address;
+        let is_missed = message.balancers.iter().any(|news| news.control == own && news.is_silent);
+        let mut later: Vec<BalancerNews> = Vec::new();
         {
             let mut peers = self.peers();
-            for news in &message.balancers {
-                peers.hear(news, now_ms);
+            if peers.is_ahead_of(&sender) {
+                later.extend(peers.news_of(sender.control));
             }
-            if message.is_stopping {
-                peers.leave(message.control);
-            } else {
-                let sender = BalancerNews {
-                    control: message.control,
-                    exchange: message.exchange,
-                    zone: message.zone,
-                    newest_change: message.newest_change,
-                    age_ms: 0,
-                };
-                peers.hear(&sender, now_ms);
+            if peers.hear_itself(&sender, message.newest_change, now_ms) {
+                self.note_changed_balancer(sender.control);
+            }
+            if let Some(follows) = message.follows {
+                peers.note_promise(sender.control, follows, now_ms);
+            }
+            message.zones.iter().for_each(|news| peers.hear_zone(news, now_ms));
+            for news in &message.balancers {
+                match peers.hear(news, now_ms) {
+                    Heard::News => self.note_changed_balancer(news.control),
+                    Heard::Outdated => later.extend(peers.news_of(news.control)),
+                    Heard::Known => {}
+                }
             }
         }
-        for (status, age_ms) in message.targets {
-            self.take_status(status, age_ms);
+        self.take_targets(&message.targets, &message.loads, now_ms);
+        if !later.is_empty() {
+            self.tell(&[sender.control], Told { balancers: later, ..Told::default() }).await;
+        }
+        if is_missed {
+            let follows = Some(self.peers().is_neighbour(sender.control));
+            self.tell(&[sender.control], Told { follows, ..Told::default() }).await;
         }
         if message.asks {
-            self.send_state_to(&[message.control], false).await;
+            self.answer(sender.control).await;
         }
         self.note_knowledge();
     }
+
+    fn take_targets(&self, targets: &[TargetNews], loads: &[TargetLoad], now_ms: u64) {
+        let zones: Vec<(String, u64)> = {
+            let peers = self.peers();
+            peers.zones_heard_ms().map(|(zone, heard_ms)| (zone.to_owned(), heard_ms)).collect()
+        };
+        {
+            let known = &mut self.state().targets;
+            zones.iter().for_each(|(zone, heard_ms)| known.hear_zone(zone, *heard_ms));
+        }
+        for news in targets {
+            let is_changed = self.state().targets.hear(news, now_ms);
+            if is_changed {
+                self.note_change(&news.status, news.is_silent);
+            }
+        }
+        let known = &mut self.state().targets;
+        loads.iter().for_each(|load| known.hear_load(load, now_ms));
+    }
+}
+
+/// Tells the neighbours what has changed, for as long as the process runs.
+pub(super) async fn tell_changes(shared: Arc<Shared>) {
+    loop {
+        shared.changes_soon.notified().await;
+        sleep(CHANGES_PAUSE).await;
+        let changes = std::mem::take(&mut *shared.changes());
+        let now_ms = shared.now_ms();
+        let (neighbours, balancers) = {
+            let peers = shared.peers();
+            let news = changes.balancers.iter().filter_map(|control| peers.news_of(*control));
+            (peers.neighbours(now_ms), news.collect::<Vec<BalancerNews>>())
+        };
+        let targets: Vec<TargetNews> = {
+            let state = shared.state();
+            let news = changes.targets.iter().map(|data| state.targets.news_of(*data, now_ms));
+            news.flatten().collect()
+        };
+        for told in Told::in_parts(&balancers, &targets) {
+            shared.tell(&neighbours, told).await;
+        }
+    }
 }
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -10,6 +10,9 @@
 use crate::connection::target_gate::GateLimits;
 use crate::connection::target_gate::TargetPhase;
 use crate::version::balancer_table::BalancerNews;
+use crate::version::balancer_table::ZoneNews;
+use crate::version::target_table::TargetLoad;
+use crate::version::target_table::TargetNews;
 use crate::version::target_table::TargetStatus;
 use crate::wire;
 use crate::wire::node_message::Kind;
@@ -29,6 +32,8 @@
     pub limits: GateLimits,
     /// Idle time after which a flow may be forgotten, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// Newest run of the agent that the balancer knows of; 0 for none.
+    pub known_lifetime: u64,
 }
 
 /// What a balancer tells other balancers.
@@ -42,14 +47,23 @@
     pub zone: String,
     /// Revision of the newest change that is in force there.
     pub newest_change: u64,
-    /// Balancers that it hears or is told of.
+    /// Grows with each state of the sender, also from one run to the next.
+    pub stamp: u64,
+    /// When a balancer of each zone was last heard.
+    pub zones: Vec<ZoneNews>,
+    /// Some of the balancers that it knows.
     pub balancers: Vec<BalancerNews>,
-    /// Agents that it hears or is told of, with the age of their status in milliseconds.
-    pub targets: Vec<(TargetStatus, u64)>,
+    /// Some of the agents that it knows.
+    pub targets: Vec<TargetNews>,
+    /// Loads of some targets of its zone.
+    pub loads: Vec<TargetLoad>,
     /// Whether it stops.
     pub is_stopping: bool,
-    /// Whether the receiver answers with its own state at once.
+    /// Whether the receiver answers at once with all that it knows.
     pub asks: bool,
+    /// Whether the sender's next state goes to the receiver, too; nothing where this is none of its regular
+    /// ones.
+    pub follows: Option<bool>,
 }
 
 /// A segment whose flow no target of a chain holds.
@@ -99,6 +113,7 @@
                 cold_openings_per_s: probe.limits.cold_openings_per_s.unwrap_or(0),
                 max_flows: probe.limits.max_flows,
                 idle_timeout_ms: u32::try_from(probe.idle_timeout_ms).unwrap_or(u32::MAX),
+                known_lifetime: probe.known_lifetime,
             }),
             NodeMessage::Status(status) => Kind::Status(status_to_wire(status)),
             NodeMessage::Found { flow, holder, is_confirmed } => Kind::Found(wire::FlowFound {
@@ -131,6 +146,7 @@
                     max_flows: probe.max_flows,
                 },
                 idle_timeout_ms: u64::from(probe.idle_timeout_ms),
+                known_lifetime: probe.known_lifetime,
             }),
             Kind::Status(status) => NodeMessage::Status(status_from_wire(status)?),
             Kind::Found(found) => {
@@ -205,22 +221,37 @@
         control: pack_address(news.control),
         exchange: pack_address(news.exchange),
         zone: news.zone.clone(),
-        newest_change: news.newest_change,
+        stamp: news.stamp,
+        silent: news.is_silent,
+    };
+    let target = |news: &TargetNews| wire::TargetNews {
+        status: Some(status_to_wire(&news.status)),
+        age_ms: age_to_wire(news.age_ms),
+        silent: news.is_silent,
+    };
+    let zone = |news: &ZoneNews| wire::ZoneNews {
+        zone: news.zone.clone(),
         age_ms: age_to_wire(news.age_ms),
     };
-    let target = |(status, age_ms): &(TargetStatus, u64)| wire::TargetNews {
-        status: Some(status_to_wire(status)),
-        age_ms: age_to_wire(*age_ms),
+    let load = |load: &TargetLoad| wire::TargetLoad {
+        data: pack_address(load.data),
+        sequence: load.sequence,
+        flows: load.flows,
+        busy: load.busy,
     };
     wire::BalancerState {
         control: pack_address(state.control),
         exchange: pack_address(state.exchange),
         newest_change: state.newest_change,
         zone: state.zone.clone(),
+        stamp: state.stamp,
+        zones: state.zones.iter().map(zone).collect(),
         balancers: state.balancers.iter().map(balancer).collect(),
         targets: state.targets.iter().map(target).collect(),
+        loads: state.loads.iter().map(load).collect(),
         stopping: state.is_stopping,
         asks: state.asks,
+        follows: state.follows,
     }
 }
 
@@ -230,21 +261,39 @@
             control: unpack_address(news.control)?,
             exchange: unpack_address(news.exchange)?,
             zone: news.zone,
-            newest_change: news.newest_change,
+            stamp: news.stamp,
+            is_silent: news.silent,
+        })
+    };
+    let target = |news: wire::TargetNews| {
+        Some(TargetNews {
+            status: status_from_wire(news.status?)?,
             age_ms: u64::from(news.age_ms),
+            is_silent: news.silent,
+        })
+    };
+    let zone = |news: wire::ZoneNews| ZoneNews { zone: news.zone, age_ms: u64::from(news.age_ms) };
+    let load = |load: wire::TargetLoad| {
+        Some(TargetLoad {
+            data: unpack_address(load.data)?,
+            sequence: load.sequence,
+            flows: load.flows,
+            busy: load.busy,
         })
     };
-    let target =
-        |news: wire::TargetNews| Some((status_from_wire(news.status?)?, u64::from(news.age_ms)));
     Some(BalancerState {
         control: unpack_address(state.control)?,
         exchange: unpack_address(state.exchange)?,
         zone: state.zone,
         newest_change: state.newest_change,
+        stamp: state.stamp,
+        zones: state.zones.into_iter().map(zone).collect(),
         balancers: state.balancers.into_iter().map(balancer).collect::<Option<_>>()?,
         targets: state.targets.into_iter().map(target).collect::<Option<_>>()?,
+        loads: state.loads.into_iter().map(load).collect::<Option<_>>()?,
         is_stopping: state.stopping,
         asks: state.asks,
+        follows: state.follows,
     })
 }
 
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -10,6 +10,7 @@
 pub mod record;
 pub mod records;
 pub mod rendezvous;
+pub mod rotation;
 pub mod routing;
 pub mod service;
 pub mod table;
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -1,23 +1,27 @@
 //! A balancer's view of the targets of passed-through flows, and the chains it makes of it.
 //!
 //! The view may be old: it proposes, and the agents decide. An entry comes from the store or from a
-//! peer; what its agent says of itself comes by datagram and decides whether it is alive.
+//! peer; what its agent says of itself comes by datagram, from itself or through other balancers. An agent
+//! that this balancer does not probe itself counts as alive as long as a balancer of its zone is heard and
+//! none has told that it is silent.
 
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
 
 use crate::connection::target_gate::TargetPhase;
+use crate::version::balancer_table::ZONE_SILENCE_MS;
 use crate::version::hash::hash64;
 use crate::version::hash::hash64_with_seed;
+use crate::version::rotation::Rotation;
 use crate::version::routing::Routing;
 
 /// Time for which an agent that is probed leaves probes unanswered before it counts as silent, in
 /// milliseconds: four answers are missing.
 pub const SILENCE_MS: u64 = 1_200;
 
-/// Age of what others tell of an agent, in milliseconds, from which this balancer probes it itself:
-/// three states are missing.
+/// Age of the last status of an agent for which nobody vouches, in milliseconds, from which this balancer
+/// probes it itself.
 const STALE_MS: u64 = 2_000;
 
 /// Age of what was heard of an agent, in milliseconds, up to which it is not suspected: two rounds of
@@ -40,8 +44,8 @@
 /// Busy slots, in percentage points, by which other zones must be better to be taken all the same.
 const HOME_MARGIN_PERCENT: u64 = 15;
 
-/// Runs of an agent that are remembered, so that late datagrams of theirs are told apart.
-const MAX_PAST_LIFETIMES: usize = 4;
+/// Agents of other zones that are probed at once. At full size a probe and its answer are 170 bytes.
+const MAX_FAR_PROBES: usize = 64;
 
 /// Most agents in one chain; 48 hops are 400 bytes of header.
 pub const MAX_CHAIN: usize = 48;
@@ -57,7 +61,7 @@
     pub data: SocketAddrV4,
     /// Address for control datagrams.
     pub control: SocketAddrV4,
-    /// Random number of this run of the agent.
+    /// Number of this run of the agent; later runs have higher ones.
     pub lifetime: u64,
     /// Number of the status in this run.
     pub sequence: u64,
@@ -77,6 +81,30 @@
     pub is_stopping: bool,
 }
 
+/// What one balancer tells of an agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetNews {
+    /// The last status that is known.
+    pub status: TargetStatus,
+    /// Time since it was sent, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the agent has left probes unanswered since.
+    pub is_silent: bool,
+}
+
+/// Load of a target, as balancers of its zone tell each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetLoad {
+    /// Data address of the agent.
+    pub data: SocketAddrV4,
+    /// Number of the status that it comes from.
+    pub sequence: u64,
+    /// Open flows.
+    pub flows: u32,
+    /// Flows whose caller waits for an answer.
+    pub busy: u32,
+}
+
 /// How an agent is seen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Liveness {
@@ -97,7 +125,13 @@
     /// Time of the first probe of this balancer since then.
     probed_ms: Option<u64>,
     status: Option<TargetStatus>,
-    past_lifetimes: Vec<u64>,
+    /// When the load was last told, and by which status.
+    load_ms: u64,
+    load_sequence: u64,
+    /// Whether this balancer probes it in each round.
+    is_kept: bool,
+    /// Whether one that probes it has found it silent.
+    is_doubted: bool,
     awaited_until_ms: u64,
     /// Since when this balancer probes it itself, as a search came to no end.
     suspected_ms: Option<u64>,
@@ -105,6 +139,18 @@
 }
 
 impl TargetEntry {
+    /// Takes over a load that is newer than the one held, and counts offers from there.
+    fn take_load(&mut self, load: &TargetLoad, at_ms: u64) {
+        let Some(status) = self.status.as_mut().filter(|_| load.sequence >= self.load_sequence)
+        else {
+            return;
+        };
+        (status.flows, status.busy) = (load.flows, load.busy);
+        self.load_sequence = load.sequence;
+        self.load_ms = at_ms;
+        self.offered = 0;
+    }
+
     /// Whether the target has not ended.
     fn may_hold_flows(&self) -> bool {
         self.status.as_ref().is_none_or(|status| status.phase != TargetPhase::Ended)
@@ -138,7 +184,11 @@
 #[derive(Debug, Default)]
 pub struct TargetTable {
     targets: IndexMap<SocketAddrV4, TargetEntry>,
+    zones_heard_ms: IndexMap<String, u64>,
     excused_until_ms: u64,
+    told: Rotation,
+    loads: Rotation,
+    far_probes: Rotation,
 }
 
 impl TargetTable {
@@ -165,7 +215,10 @@
             heard_ms: None,
             probed_ms: None,
             status: None,
-            past_lifetimes: Vec::new(),
+            load_ms: 0,
+            load_sequence: 0,
+            is_kept: false,
+            is_doubted: false,
             awaited_until_ms: 0,
             suspected_ms: None,
             offered: 0,
@@ -179,26 +232,20 @@
     pub fn update(&mut self, status: TargetStatus, age_ms: u64, now_ms: u64) -> bool {
         self.learn(status.data, status.control, &status.zone, now_ms);
         let entry = &mut self.targets[&status.data];
-        if entry.past_lifetimes.contains(&status.lifetime) {
-            return false;
-        }
-        let heard_ms = now_ms.saturating_sub(age_ms);
-        let mut is_changed = true;
-        if let Some(held) = &entry.status {
-            if held.lifetime == status.lifetime {
-                if status.sequence <= held.sequence {
-                    return false;
-                }
-                is_changed = held.phase != status.phase
+        let mut is_changed = entry.is_doubted;
+        match &entry.status {
+            Some(held) if is_later(held, &status) => return false,
+            Some(held) if held.lifetime == status.lifetime => {
+                is_changed |= held.phase != status.phase
                     || held.service != status.service
                     || held.is_stopping != status.is_stopping;
-            } else {
-                entry.past_lifetimes.push(held.lifetime);
-                if entry.past_lifetimes.len() > MAX_PAST_LIFETIMES {
-                    entry.past_lifetimes.remove(0);
-                }
+            }
+            _ => {
+                is_changed = true;
+                entry.load_sequence = 0;
             }
         }
+        let heard_ms = now_ms.saturating_sub(age_ms);
         entry.heard_ms = entry.heard_ms.max(Some(heard_ms));
         if entry.suspected_ms.is_some_and(|suspected_ms| suspected_ms <= heard_ms) {
             entry.suspected_ms = None;
@@ -206,14 +253,72 @@
         if entry.probed_ms.is_some_and(|probed_ms| probed_ms <= heard_ms) {
             entry.probed_ms = None;
         }
+        entry.is_doubted = false;
         entry.awaited_until_ms = if status.is_stopping { now_ms + HOLD_MS } else { 0 };
         entry.control = status.control;
         entry.zone.clone_from(&status.zone);
-        entry.offered = 0;
+        let load = TargetLoad {
+            data: status.data,
+            sequence: status.sequence,
+            flows: status.flows,
+            busy: status.busy,
+        };
         entry.status = Some(status);
+        entry.take_load(&load, heard_ms);
         is_changed
     }
 
+    /// Takes over what another balancer tells of an agent. Says whether anything but load has changed.
+    pub fn hear(&mut self, news: &TargetNews, now_ms: u64) -> bool {
+        let is_changed = self.update(news.status.clone(), news.age_ms, now_ms);
+        is_changed | (news.is_silent && self.doubt(&news.status, now_ms))
+    }
+
+    /// Somebody has heard nothing of an agent since this status. Says whether that is news here.
+    fn doubt(&mut self, last: &TargetStatus, now_ms: u64) -> bool {
+        let entry = &mut self.targets[&last.data];
+        let has_newer = entry.status.as_ref().is_some_and(|held| {
+            held.lifetime > last.lifetime
+                || (held.lifetime == last.lifetime && held.sequence > last.sequence)
+        });
+        let is_fresh =
+            entry.heard_ms.is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) < FRESH_MS);
+        if has_newer || entry.is_doubted || (entry.is_kept && is_fresh) {
+            return false;
+        }
+        entry.is_doubted = true;
+        true
+    }
+
+    /// Takes over the load of a target.
+    pub fn hear_load(&mut self, load: &TargetLoad, now_ms: u64) {
+        if let Some(entry) = self.targets.get_mut(&load.data) {
+            entry.take_load(load, now_ms);
+        }
+    }
+
+    /// Takes over when the balancers of a zone were last heard.
+    pub fn hear_zone(&mut self, zone: &str, heard_ms: u64) {
+        self.zones_heard_ms.insert(zone.to_owned(), heard_ms);
+    }
+
+    /// Agents that this balancer probes and that have fallen silent since the last call, to tell others.
+    pub fn take_silent(&mut self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let is_silent = |entry: &TargetEntry| {
+            let is_stopping = entry.status.as_ref().is_none_or(|status| status.is_stopping);
+            entry.is_kept
+                && !entry.is_doubted
+                && !is_stopping
+                && self.judge(entry, now_ms) == Liveness::Silent
+        };
+        let silent = self.targets.iter().filter(|(_, entry)| is_silent(entry));
+        let silent: Vec<SocketAddrV4> = silent.map(|(data, _)| *data).collect();
+        for data in &silent {
+            self.targets[data].is_doubted = true;
+        }
+        silent
+    }
+
     /// Forgets an agent whose entry was taken out of the store, unless it is heard.
     pub fn forget(&mut self, data: SocketAddrV4, now_ms: u64) {
         if self.liveness(data, now_ms) != Some(Liveness::Alive) {
@@ -233,27 +338,35 @@
         }
     }
 
-    /// Agents that this balancer probes now: those it keeps, and those of which it has heard nothing
-    /// for a while. Their silence counts from here on. Between two rounds only those that may be
-    /// starting are probed.
+    /// Agents that this balancer probes now: those it keeps, and those of which nobody has heard for a
+    /// while. Their silence counts from here on. Between two rounds only those that may be starting are
+    /// probed; of other zones a few at a time.
     pub fn take_due_probes(
         &mut self,
         is_round: bool,
         keeps: impl Fn(SocketAddrV4, &str) -> bool,
+        home_zone: &str,
         now_ms: u64,
     ) -> Vec<SocketAddrV4> {
         let mut due = Vec::new();
+        let mut far = Vec::new();
         for (data, entry) in &mut self.targets {
-            let is_stale =
-                entry.heard_ms.is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > STALE_MS);
+            if is_round {
+                entry.is_kept = keeps(*data, &entry.zone);
+            }
             let is_awaited = entry.heard_ms.is_none()
                 && now_ms.saturating_sub(entry.known_since_ms) < UNHEARD_MS;
+            let is_stale = !is_recent(&self.zones_heard_ms, entry, now_ms);
             let is_suspected = entry.suspected_ms.is_some();
-            if is_awaited || (is_round && (is_stale || is_suspected || keeps(*data, &entry.zone))) {
-                entry.probed_ms.get_or_insert(now_ms);
-                due.push(*data);
+            if is_awaited || (is_round && (is_stale || is_suspected || entry.is_kept)) {
+                let is_home = entry.zone == home_zone;
+                if is_home { &mut due } else { &mut far }.push(*data);
             }
         }
+        due.extend(self.far_probes.take(&far, MAX_FAR_PROBES));
+        for data in &due {
+            self.targets[data].probed_ms.get_or_insert(now_ms);
+        }
         due
     }
 
@@ -263,25 +376,58 @@
         Some(KnownAgent { data, control: entry.control, zone: &entry.zone })
     }
 
-    /// Statuses of the agents that were heard lately, with their age in milliseconds, to tell others.
-    pub fn news(&self, now_ms: u64) -> impl Iterator<Item = (&TargetStatus, u64)> {
+    /// What is known of the agents that count as alive.
+    pub fn news(&self, now_ms: u64) -> impl Iterator<Item = TargetNews> {
         self.targets.values().filter_map(move |entry| {
-            let age_ms = now_ms.saturating_sub(entry.heard_ms?);
-            (age_ms < STALE_MS).then_some((entry.status.as_ref()?, age_ms))
+            let is_recent = is_recent(&self.zones_heard_ms, entry, now_ms);
+            (is_recent && !entry.is_doubted).then(|| news_of(entry, now_ms))?
         })
     }
 
+    /// News of at most `most` agents, others at the next call.
+    pub fn next_news(&mut self, most: usize, now_ms: u64) -> Vec<TargetNews> {
+        let all: Vec<TargetNews> = self.news(now_ms).collect();
+        self.told.take(&all, most)
+    }
+
+    /// What is known of one agent.
+    pub fn news_of(&self, data: SocketAddrV4, now_ms: u64) -> Option<TargetNews> {
+        news_of(self.targets.get(&data)?, now_ms)
+    }
+
+    /// Loads of at most `most` targets of a zone that were told lately, others at the next call.
+    pub fn next_loads(&mut self, zone: &str, most: usize, now_ms: u64) -> Vec<TargetLoad> {
+        let fresh = self
+            .targets
+            .values()
+            .filter(|entry| entry.zone == zone && now_ms.saturating_sub(entry.load_ms) < STALE_MS);
+        let load = |status: &TargetStatus, sequence| TargetLoad {
+            data: status.data,
+            sequence,
+            flows: status.flows,
+            busy: status.busy,
+        };
+        let loads: Vec<TargetLoad> = fresh
+            .filter_map(|entry| Some(load(entry.status.as_ref()?, entry.load_sequence)))
+            .collect();
+        self.loads.take(&loads, most)
+    }
+
     /// This process stood still: silence up to now proves nothing.
     pub fn note_stall(&mut self, now_ms: u64) {
         for entry in self.targets.values_mut() {
             entry.probed_ms = None;
         }
+        self.zones_heard_ms.clear();
         self.excused_until_ms = now_ms + SILENCE_MS;
     }
 
     /// Data addresses of agents that have been silent for `silence_ms`.
     pub fn silent_for(&self, silence_ms: u64, now_ms: u64) -> impl Iterator<Item = SocketAddrV4> {
-        let since = |entry: &TargetEntry| entry.heard_ms.unwrap_or(entry.known_since_ms);
+        let since = |entry: &TargetEntry| {
+            let last_ms = entry.heard_ms.max(vouched_ms(&self.zones_heard_ms, entry));
+            last_ms.unwrap_or(entry.known_since_ms)
+        };
         self.targets
             .iter()
             .filter(move |(_, entry)| now_ms.saturating_sub(since(entry)) > silence_ms)
@@ -425,6 +571,7 @@
             None if now_ms.saturating_sub(entry.known_since_ms) < UNHEARD_MS => Liveness::Awaited,
             None => Liveness::Silent,
             Some(age_ms) if age_ms < SILENCE_MS => Liveness::Alive,
+            Some(_) if is_vouched(&self.zones_heard_ms, entry, now_ms) => Liveness::Alive,
             Some(_) if unanswered_ms.is_some_and(|waited_ms| waited_ms >= SILENCE_MS) => {
                 Liveness::Silent
             }
@@ -454,6 +601,36 @@
     }
 }
 
+/// Whether the first status was sent after the second, or is the same.
+fn is_later(first: &TargetStatus, second: &TargetStatus) -> bool {
+    (first.lifetime, first.sequence) >= (second.lifetime, second.sequence)
+}
+
+/// When a balancer of an agent's zone was last heard, where its word counts for the agent.
+fn vouched_ms(zones_heard_ms: &IndexMap<String, u64>, entry: &TargetEntry) -> Option<u64> {
+    let counts = !entry.is_kept && !entry.is_doubted && entry.status.is_some();
+    zones_heard_ms.get(&entry.zone).filter(|_| counts).copied()
+}
+
+fn is_vouched(zones_heard_ms: &IndexMap<String, u64>, entry: &TargetEntry, now_ms: u64) -> bool {
+    vouched_ms(zones_heard_ms, entry)
+        .is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) < ZONE_SILENCE_MS)
+}
+
+/// Whether an agent needs no probe but those that it gets.
+fn is_recent(zones_heard_ms: &IndexMap<String, u64>, entry: &TargetEntry, now_ms: u64) -> bool {
+    is_vouched(zones_heard_ms, entry, now_ms)
+        || entry.heard_ms.is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) <= STALE_MS)
+}
+
+fn news_of(entry: &TargetEntry, now_ms: u64) -> Option<TargetNews> {
+    Some(TargetNews {
+        status: entry.status.clone()?,
+        age_ms: now_ms.saturating_sub(entry.heard_ms?),
+        is_silent: entry.is_doubted,
+    })
+}
+
 /// A target that may take a new flow.
 struct Candidate<'a> {
     data: SocketAddrV4,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -337,6 +337,9 @@
     pub max_flows: u32,
     #[prost(uint32, tag = "7")]
     pub idle_timeout_ms: u32,
+    /// Newest run of the agent that the balancer knows of; 0 for none.
+    #[prost(fixed64, tag = "8")]
+    pub known_lifetime: u64,
 }
 /// What an agent says of itself and of its target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -345,7 +348,7 @@
     pub data: u64,
     #[prost(fixed64, tag = "2")]
     pub control: u64,
-    /// Random number of this run of the agent.
+    /// Number of this run of the agent; later runs have higher ones.
     #[prost(fixed64, tag = "3")]
     pub lifetime: u64,
     #[prost(uint64, tag = "4")]
@@ -405,15 +408,26 @@
     pub newest_change: u64,
     #[prost(string, tag = "5")]
     pub zone: ::prost::alloc::string::String,
+    /// Some of the balancers and agents that the sender knows: what has changed, and others in turn.
     #[prost(message, repeated, tag = "6")]
     pub balancers: ::prost::alloc::vec::Vec<BalancerNews>,
     #[prost(message, repeated, tag = "7")]
     pub targets: ::prost::alloc::vec::Vec<TargetNews>,
     #[prost(bool, tag = "8")]
     pub stopping: bool,
-    /// Whether the receiver answers with its own state at once.
+    /// Whether the receiver answers at once with all that it knows.
     #[prost(bool, tag = "9")]
     pub asks: bool,
+    /// Grows with each state of the sender, also from one run to the next.
+    #[prost(uint64, tag = "10")]
+    pub stamp: u64,
+    #[prost(message, repeated, tag = "11")]
+    pub zones: ::prost::alloc::vec::Vec<ZoneNews>,
+    #[prost(message, repeated, tag = "12")]
+    pub loads: ::prost::alloc::vec::Vec<TargetLoad>,
+    /// Whether the sender's next state goes to the receiver, too; absent where this is none of its regular ones.
+    #[prost(bool, optional, tag = "13")]
+    pub follows: ::core::option::Option<bool>,
 }
 /// What a balancer tells of another one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -424,10 +438,12 @@
     pub exchange: u64,
     #[prost(string, tag = "3")]
     pub zone: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "4")]
-    pub newest_change: u64,
-    #[prost(uint32, tag = "5")]
-    pub age_ms: u32,
+    /// Stamp of the last state of the balancer that is known.
+    #[prost(uint64, tag = "6")]
+    pub stamp: u64,
+    /// Whether it has been silent since, or has stopped.
+    #[prost(bool, tag = "7")]
+    pub silent: bool,
 }
 /// What a balancer tells of an agent.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -436,6 +452,29 @@
     pub status: ::core::option::Option<TargetStatus>,
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
+    /// Whether the agent has been silent since towards one that probes it.
+    #[prost(bool, tag = "3")]
+    pub silent: bool,
+}
+/// When a balancer of a zone was last heard.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ZoneNews {
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+/// Load of a target, between balancers of its zone.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetLoad {
+    #[prost(fixed64, tag = "1")]
+    pub data: u64,
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    #[prost(uint32, tag = "3")]
+    pub flows: u32,
+    #[prost(uint32, tag = "4")]
+    pub busy: u32,
 }
 /// Addresses of an agent, where nothing more is known of it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -95,6 +95,7 @@
         service: String::new(),
         limits: GateLimits { cold_openings_per_s: None, max_flows: 10 },
         idle_timeout_ms: 0,
+        known_lifetime: 0,
     }
 }
 
@@ -435,6 +436,7 @@
             service: String::new(),
             limits: GateLimits { cold_openings_per_s: None, max_flows: 10 },
             idle_timeout_ms: 0,
+            known_lifetime: 0,
         };
         agent.take_probe(&probe(8, true), 1);
         agent.take_probe(&probe(7, false), 2);
