What an agent tells all balancers itself is passed on by a few in each zone

Cause: an agent that starts tells every balancer, and each passed each of its changes on to five others: some 480 datagrams a change at 96 balancers. Now three balancers of each zone pass on what the agent told them itself; who hears of it from another balancer passes it on as before, as the agent cannot have reached it.

--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -265,7 +265,9 @@
         let (data, lifetime, phase) = (status.data, status.lifetime, status.phase);
         let is_changed = self.state().targets.update(status.clone(), 0, self.now_ms());
         if is_changed {
-            self.note_change(&status, false);
+            // An agent that starts tells all balancers itself; in each zone a few pass it on.
+            let passes_on = self.peers().keeps(data, self.now_ms());
+            self.note_change(&status, false, passes_on);
         }
         // The agent waits for an answer, or for the limits of the service that it has just named; or it has
         // to hear of a run that counts as later than its own.
@@ -276,15 +278,17 @@
         }
     }
 
-    /// An agent has changed, by its own word or another's: the others have to hear of it.
-    pub(super) fn note_change(&self, status: &TargetStatus, is_silent: bool) {
+    /// An agent has changed, by its own word or another's.
+    pub(super) fn note_change(&self, status: &TargetStatus, is_silent: bool, passes_on: bool) {
         let TargetStatus { data, phase, is_stopping, lifetime, .. } = status;
         log_event!(
             Event::TargetChanged,
             "agent={data} phase={phase:?} stopping={is_stopping} silent={is_silent} \
              lifetime={lifetime:x}"
         );
-        self.note_changed_target(*data);
+        if passes_on {
+            self.note_changed_target(*data);
+        }
         self.release_soon.notify_one();
     }
 }
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -240,7 +240,7 @@
         for news in targets {
             let is_changed = self.state().targets.hear(news, now_ms);
             if is_changed {
-                self.note_change(&news.status, news.is_silent);
+                self.note_change(&news.status, news.is_silent, true);
             }
         }
         let known = &mut self.state().targets;
