An agent asks its host whether its target runs

Cause: after a loss of power balancers reset no lost flow while one agent may still hold it. A port at which nobody listens refuses connections, so a refusal proves that the process has ended, and its flows with it: the agent asks at its start, before it stops, and when a report of the target is missing. A target that turns out to be there all the same is believed, and asked for each flow. Before, two agents' state said nothing of it: four tests in passthrough_gate, which do not compile without.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -20,6 +20,10 @@
 /// behind it for each slot, a wait that latency objectives of three to five times the work allow.
 const FULL_PERCENT: u64 = 200;
 
+/// Silence of the target, in milliseconds, after which its host is asked whether a process of it runs: a
+/// report is missing.
+const DOUBT_MS: u64 = 1_000;
+
 /// What a target says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetReport {
@@ -190,6 +194,9 @@
     life: Option<Life>,
     past_lives: VecDeque<(String, u64)>,
     is_whole: bool,
+    /// Whether the host has refused a connection to the target since it was last heard: no process of it
+    /// runs.
+    is_absent: bool,
     silence_ms: u64,
     distrust_before_ms: u64,
     is_zone_out: bool,
@@ -213,6 +220,7 @@
             life: None,
             past_lives: VecDeque::new(),
             is_whole: false,
+            is_absent: false,
             silence_ms,
             distrust_before_ms: 0,
             is_zone_out: false,
@@ -250,12 +258,35 @@
                 ReportOutcome::NewLife
             }
         };
+        let was_absent = std::mem::take(&mut self.is_absent);
         if outcome == ReportOutcome::NewLife {
-            self.is_whole = self.life.is_some() || report.sequence == FIRST_SEQUENCE;
+            self.is_whole = was_absent || self.life.is_some() || report.sequence == FIRST_SEQUENCE;
             self.remember_past_life();
+        } else if was_absent {
+            self.is_whole = false;
         }
         self.life = Some(Life { report, heard_ms: now_ms, cold_until_ms, has_ended: false });
-        outcome
+        match outcome {
+            ReportOutcome::Same if was_absent => ReportOutcome::Changed,
+            outcome => outcome,
+        }
+    }
+
+    /// The host refuses connections to the target: its process has ended, and its flows with it.
+    pub fn note_absent(&mut self) {
+        self.is_absent = true;
+    }
+
+    /// The target has sent something: it is there after all, with flows that were given up.
+    pub fn note_present(&mut self) {
+        if std::mem::take(&mut self.is_absent) {
+            self.is_whole = false;
+        }
+    }
+
+    /// Whether it is not known if a process of the target runs, after `silent_ms` without a word of it.
+    pub fn is_in_doubt(&self, silent_ms: u64) -> bool {
+        !self.has_ended() && silent_ms >= DOUBT_MS
     }
 
     /// The target has left. Says whether this ended the life that is known.
@@ -320,19 +351,20 @@
         self.is_whole
     }
 
-    /// Whether the known life of the target has ended.
+    /// Whether no life of the target goes on.
     pub fn has_ended(&self) -> bool {
-        self.life.as_ref().is_some_and(|life| life.has_ended)
+        self.is_absent || self.life.as_ref().is_some_and(|life| life.has_ended)
     }
 
     /// The phase that balancers are told.
     pub fn phase(&self, now_ms: u64) -> TargetPhase {
+        if self.has_ended() {
+            return TargetPhase::Ended;
+        }
         let Some(life) = &self.life else {
             return TargetPhase::Unknown;
         };
-        if life.has_ended {
-            TargetPhase::Ended
-        } else if life.report.is_leaving {
+        if life.report.is_leaving {
             TargetPhase::Leaving
         } else if !self.is_trusted(life, now_ms) {
             TargetPhase::Unknown
@@ -356,6 +388,9 @@
         now_ms: u64,
     ) -> Result<(), Refused> {
         let life = self.life.as_ref().ok_or(Refused::TargetSilent)?;
+        if self.is_absent {
+            return Err(Refused::TargetSilent);
+        }
         if life.has_ended || life.report.is_leaving {
             return Err(Refused::Leaving);
         }
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -46,6 +46,7 @@
 use crate::process::passthrough::metrics::PassthroughMetrics;
 use crate::process::passthrough::seeds::Seeds;
 use crate::process::passthrough::settings::PassthroughAgentSettings;
+use crate::process::passthrough::target_presence;
 use crate::process::signals;
 use crate::version::target_table::TargetStatus;
 
@@ -134,6 +135,7 @@
     tokio::spawn(read_control(Arc::clone(&shared)));
     tokio::spawn(tell_changes(Arc::clone(&shared)));
     tokio::spawn(tick(Arc::clone(&shared)));
+    tokio::spawn(target_presence::follow(Arc::clone(&shared)));
     tokio::spawn(agent_introduction::register(Arc::clone(&shared)));
     let reloading = Arc::clone(&shared);
     tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
@@ -145,6 +147,8 @@
 /// Ends at once: while no agent runs, the target's flows stand still.
 async fn stop(shared: &Shared) {
     shared.is_stopping.store(true, Ordering::Relaxed);
+    // A target that has ended holds no flow, and nobody has to wait for its agent.
+    target_presence::look(shared).await;
     shared.tell_balancers().await;
     // Datagrams are lost at times, and this one keeps balancers from searching elsewhere.
     sleep(FAREWELL_PAUSE).await;
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -162,6 +162,7 @@
         if segment.bounced {
             return self.given_back(segment, now_ms);
         }
+        self.gate.note_present();
         let holding = self.flows.holding(&segment.flow);
         // A target that has only just started resets segments of a search instead of giving them back.
         if segment.resets && holding == Holding::Unknown && self.gate.known().is_none() {
@@ -174,6 +175,19 @@
         Step::GiveToCaller { tell: self.asked.swap_remove(&segment.flow), waited_ms }
     }
 
+    /// Whether it is not known if a process of the target runs.
+    pub fn is_target_in_doubt(&self, now_ms: u64) -> bool {
+        let running_ms = now_ms.saturating_sub(self.running_since_ms);
+        let silent_ms = self.gate.silent_ms(now_ms).map_or(running_ms, |ms| ms.min(running_ms));
+        self.gate.is_in_doubt(silent_ms)
+    }
+
+    /// The host refuses connections to the target.
+    pub fn note_target_absent(&mut self) {
+        self.gate.note_absent();
+        self.forget_flows();
+    }
+
     /// The target's process has ended, as its host says, or left.
     pub fn forget_flows(&mut self) {
         self.flows.clear();
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -38,6 +38,8 @@
     pub dropped: ReasonCounter,
     /// Openings not given to the target, by reason.
     pub refused_openings: ReasonCounter,
+    /// Connections tried to see whether a process of the target runs, by outcome.
+    pub target_looks: ReasonCounter,
     /// Searches for flows.
     pub searches: Counter,
     /// Failed store calls, by call.
@@ -62,6 +64,7 @@
             waiting: Family::default(),
             dropped: Family::default(),
             refused_openings: Family::default(),
+            target_looks: Family::default(),
             searches: Counter::default(),
             store_failures: Family::default(),
             hops: Histogram::new(HOP_BOUNDS),
@@ -79,6 +82,11 @@
             "Openings not given to the target",
             metrics.refused_openings.clone(),
         );
+        registry.register(
+            "target_looks",
+            "Connections tried to see whether a process of the target runs",
+            metrics.target_looks.clone(),
+        );
         registry.register("searches", "Searches for flows", metrics.searches.clone());
         registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
         registry.register("hops", "Agents on a segment's way", metrics.hops.clone());
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -25,6 +25,7 @@
 pub mod seeds;
 pub mod settings;
 pub mod status;
+mod target_presence;
 pub mod way;
 
 use std::sync::Arc;
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -168,6 +168,44 @@
         assert_eq!(gate.report(report("a", 1, 9), 1), ReportOutcome::Stale);
         assert_eq!(gate.phase(1), TargetPhase::Ended);
     };
+    a_target_whose_host_refuses_connections_holds_no_flow: {
+        // After a loss of power each agent that had not heard its target held up all resets, for up to 8 s
+        // where it was stopped before it had.
+        let mut agent = AgentState::new(SILENCE_MS, 0);
+        assert_eq!(agent.phase(1), TargetPhase::Unknown);
+        agent.note_target_absent();
+        assert_eq!(agent.phase(1), TargetPhase::Ended);
+        assert!(agent.gate.has_ended());
+        let step = agent.from_node(&segment(1), way(&[], 7), 2);
+        assert!(matches!(step, Step::GiveBack { search: 7, .. }), "it is not asked: {step:?}");
+    };
+    a_target_that_was_absent_before_its_report_has_no_flow_from_before: {
+        let mut gate = TargetGate::new(SILENCE_MS);
+        gate.note_absent();
+        assert_eq!(gate.report(report("a", 1, 5), 1), ReportOutcome::NewLife);
+        assert!(gate.is_whole());
+        assert_eq!(gate.phase(1), TargetPhase::Serving);
+    };
+    a_target_that_reports_after_all_may_hold_flows_that_were_given_up: {
+        let mut gate = gate();
+        assert!(gate.is_whole());
+        gate.note_absent();
+        assert_eq!(admit(&mut gate, 1), Err(Refused::TargetSilent));
+        assert_eq!(gate.report(report("a", 1, 2), 2), ReportOutcome::Changed);
+        assert!(!gate.is_whole());
+        assert_eq!(admit(&mut gate, 3), Ok(()));
+        gate.note_absent();
+        gate.note_present();
+        assert!(!gate.has_ended());
+        assert!(!gate.is_whole());
+    };
+    a_target_is_looked_at_when_a_report_is_missing_and_not_before: {
+        let mut agent = agent();
+        assert!(!agent.is_target_in_doubt(999));
+        assert!(agent.is_target_in_doubt(1_000));
+        agent.note_target_absent();
+        assert!(!agent.is_target_in_doubt(2_000));
+    };
     a_zone_that_comes_back_waits_for_a_report: {
         let mut gate = gate();
         gate.set_zone_out(true, 10);
