--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -48,7 +48,7 @@
 use crate::process::passthrough::settings::PassthroughAgentSettings;
 use crate::process::passthrough::target_presence;
 use crate::process::signals;
-use crate::version::target_table::TargetStatus;
+use crate::version::target_status::TargetStatus;
 
 /// Time between two looks at the clock; a jump of [`STALL_MS`] between them is a stall.
 const TICK: Duration = Duration::from_millis(250);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -51,8 +51,8 @@
 use crate::process::signals;
 use crate::version::balancer_table::ASK_INTERVAL_MS;
 use crate::version::balancer_table::BalancerTable;
+use crate::version::target_status::TargetStatus;
 use crate::version::target_table::KnownAgent;
-use crate::version::target_table::TargetStatus;
 
 /// Time between two probes of an agent, in milliseconds: a quarter of the silence that counts.
 const PROBE_INTERVAL_MS: u64 = 300;
--- a/src/process/passthrough/balancer_configuration.rs
+++ b/src/process/passthrough/balancer_configuration.rs
@@ -18,8 +18,8 @@
 use crate::version::routing::Applied;
 use crate::version::routing::Configuration;
 use crate::version::routing::OperatorItem;
+use crate::version::target_status::TargetStatus;
 use crate::version::target_table::Liveness;
-use crate::version::target_table::TargetStatus;
 use crate::wire::ConfigurationItem;
 use crate::wire::ConfigurationSnapshot;
 
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -18,8 +18,8 @@
 use crate::process::passthrough::message::NodeMessage;
 use crate::version::balancer_table::BalancerNews;
 use crate::version::balancer_table::Heard;
-use crate::version::target_table::TargetLoad;
-use crate::version::target_table::TargetNews;
+use crate::version::target_status::TargetLoad;
+use crate::version::target_status::TargetNews;
 
 /// Most balancers in one state: 45 bytes each, of the 1,200 of a datagram.
 const MAX_BALANCERS: usize = 4;
@@ -182,50 +182,55 @@
         send_to_all(&self.control, &message.encode(), receivers).await;
     }
 
+    /// Takes over what a balancer tells, and answers it.
     pub(super) async fn take_balancer(&self, message: message::BalancerState) {
         let now_ms = self.now_ms();
+        let (own, sender) = (self.settings.node.control_address, message.control);
+        let later = self.take_balancers(&message, now_ms);
+        self.take_targets(&message.targets, &message.loads, now_ms);
+        if !later.is_empty() {
+            self.tell(&[sender], Told { balancers: later, ..Told::default() }).await;
+        }
+        if message.balancers.iter().any(|news| news.control == own && news.is_silent) {
+            let follows = Some(self.peers().is_neighbour(sender));
+            self.tell(&[sender], Told { follows, ..Told::default() }).await;
+        }
+        if message.asks {
+            self.answer(sender).await;
+        }
+        self.note_knowledge();
+    }
+
+    /// Takes over what a state says of its sender, of other balancers and of zones. Returns what the sender
+    /// has to hear, as more is known here.
+    fn take_balancers(&self, message: &message::BalancerState, now_ms: u64) -> Vec<BalancerNews> {
         let sender = BalancerNews {
             control: message.control,
             exchange: message.exchange,
-            zone: message.zone,
+            zone: message.zone.clone(),
             stamp: message.stamp,
             is_silent: message.is_stopping,
         };
-        let own = self.settings.node.control_address;
-        let is_missed = message.balancers.iter().any(|news| news.control == own && news.is_silent);
+        let mut peers = self.peers();
         let mut later: Vec<BalancerNews> = Vec::new();
-        {
-            let mut peers = self.peers();
-            if peers.is_ahead_of(&sender) {
-                later.extend(peers.news_of(sender.control));
-            }
-            if peers.hear_itself(&sender, message.newest_change, now_ms) {
-                self.note_changed_balancer(sender.control);
-            }
-            if let Some(follows) = message.follows {
-                peers.note_promise(sender.control, follows, now_ms);
-            }
-            message.zones.iter().for_each(|news| peers.hear_zone(news, now_ms));
-            for news in &message.balancers {
-                match peers.hear(news, now_ms) {
-                    Heard::News => self.note_changed_balancer(news.control),
-                    Heard::Outdated => later.extend(peers.news_of(news.control)),
-                    Heard::Known => {}
-                }
-            }
+        if peers.is_ahead_of(&sender) {
+            later.extend(peers.news_of(sender.control));
         }
-        self.take_targets(&message.targets, &message.loads, now_ms);
-        if !later.is_empty() {
-            self.tell(&[sender.control], Told { balancers: later, ..Told::default() }).await;
+        if peers.hear_itself(&sender, message.newest_change, now_ms) {
+            self.note_changed_balancer(sender.control);
         }
-        if is_missed {
-            let follows = Some(self.peers().is_neighbour(sender.control));
-            self.tell(&[sender.control], Told { follows, ..Told::default() }).await;
+        if let Some(follows) = message.follows {
+            peers.note_promise(sender.control, follows, now_ms);
         }
-        if message.asks {
-            self.answer(sender.control).await;
+        message.zones.iter().for_each(|news| peers.hear_zone(news, now_ms));
+        for news in &message.balancers {
+            match peers.hear(news, now_ms) {
+                Heard::News => self.note_changed_balancer(news.control),
+                Heard::Outdated => later.extend(peers.news_of(news.control)),
+                Heard::Known => {}
+            }
         }
-        self.note_knowledge();
+        later
     }
 
     fn take_targets(&self, targets: &[TargetNews], loads: &[TargetLoad], now_ms: u64) {
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -11,9 +11,9 @@
 use crate::connection::target_gate::TargetPhase;
 use crate::version::balancer_table::BalancerNews;
 use crate::version::balancer_table::ZoneNews;
-use crate::version::target_table::TargetLoad;
-use crate::version::target_table::TargetNews;
-use crate::version::target_table::TargetStatus;
+use crate::version::target_status::TargetLoad;
+use crate::version::target_status::TargetNews;
+use crate::version::target_status::TargetStatus;
 use crate::wire;
 use crate::wire::node_message::Kind;
 
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -13,8 +13,13 @@
 use crate::version::balancer_table::ZONE_SILENCE_MS;
 use crate::version::hash::hash64;
 use crate::version::hash::hash64_with_seed;
+use crate::version::placing;
+use crate::version::placing::Candidate;
 use crate::version::rotation::Rotation;
 use crate::version::routing::Routing;
+use crate::version::target_status::TargetLoad;
+use crate::version::target_status::TargetNews;
+use crate::version::target_status::TargetStatus;
 
 /// Time for which an agent that is probed leaves probes unanswered before it counts as silent, in
 /// milliseconds: four answers are missing.
@@ -35,15 +40,6 @@
 /// How long an agent that was never heard counts as one that is starting, in milliseconds.
 const UNHEARD_MS: u64 = 4_000;
 
-/// Flows above the mean of its zone, in percent, from which a target is passed over.
-const BOUND_PERCENT: u64 = 110;
-
-/// Busy slots over slots, in percent, up to which new flows stay in the balancer's zone.
-const HOME_BUSY_PERCENT: u64 = 70;
-
-/// Busy slots, in percentage points, by which other zones must be better to be taken all the same.
-const HOME_MARGIN_PERCENT: u64 = 15;
-
 /// Agents of other zones that are probed at once. At full size a probe and its answer are 170 bytes.
 const MAX_FAR_PROBES: usize = 64;
 
@@ -54,57 +50,6 @@
 /// comes at once.
 pub const MAX_OPENING_CHAIN: usize = 8;
 
-/// Status that an agent sends of itself and its target.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TargetStatus {
-    /// Address for segments.
-    pub data: SocketAddrV4,
-    /// Address for control datagrams.
-    pub control: SocketAddrV4,
-    /// Number of this run of the agent; later runs have higher ones.
-    pub lifetime: u64,
-    /// Number of the status in this run.
-    pub sequence: u64,
-    /// Availability zone.
-    pub zone: String,
-    /// Service of the target; empty where it is not known.
-    pub service: String,
-    /// Phase of the target.
-    pub phase: TargetPhase,
-    /// Requests that it runs at once when warm.
-    pub slots: u32,
-    /// Open flows.
-    pub flows: u32,
-    /// Flows whose caller waits for an answer.
-    pub busy: u32,
-    /// Whether the agent stops.
-    pub is_stopping: bool,
-}
-
-/// What one balancer tells of an agent.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TargetNews {
-    /// The last status that is known.
-    pub status: TargetStatus,
-    /// Time since it was sent, in milliseconds.
-    pub age_ms: u64,
-    /// Whether the agent has left probes unanswered since.
-    pub is_silent: bool,
-}
-
-/// Load of a target, as balancers of its zone tell each other.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct TargetLoad {
-    /// Data address of the agent.
-    pub data: SocketAddrV4,
-    /// Number of the status that it comes from.
-    pub sequence: u64,
-    /// Open flows.
-    pub flows: u32,
-    /// Flows whose caller waits for an answer.
-    pub busy: u32,
-}
-
 /// How an agent is seen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Liveness {
@@ -234,7 +179,7 @@
         let entry = &mut self.targets[&status.data];
         let mut is_changed = entry.is_doubted;
         match &entry.status {
-            Some(held) if is_later(held, &status) => return false,
+            Some(held) if !status.is_after(held) => return false,
             Some(held) if held.lifetime == status.lifetime => {
                 is_changed |= held.phase != status.phase
                     || held.service != status.service
@@ -257,12 +202,7 @@
         entry.awaited_until_ms = if status.is_stopping { now_ms + HOLD_MS } else { 0 };
         entry.control = status.control;
         entry.zone.clone_from(&status.zone);
-        let load = TargetLoad {
-            data: status.data,
-            sequence: status.sequence,
-            flows: status.flows,
-            busy: status.busy,
-        };
+        let load = status.load();
         entry.status = Some(status);
         entry.take_load(&load, heard_ms);
         is_changed
@@ -277,10 +217,7 @@
     /// Somebody has heard nothing of an agent since this status. Says whether that is news here.
     fn doubt(&mut self, last: &TargetStatus, now_ms: u64) -> bool {
         let entry = &mut self.targets[&last.data];
-        let has_newer = entry.status.as_ref().is_some_and(|held| {
-            held.lifetime > last.lifetime
-                || (held.lifetime == last.lifetime && held.sequence > last.sequence)
-        });
+        let has_newer = entry.status.as_ref().is_some_and(|held| held.is_after(last));
         let is_fresh =
             entry.heard_ms.is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) < FRESH_MS);
         if has_newer || entry.is_doubted || (entry.is_kept && is_fresh) {
@@ -401,15 +338,11 @@
             .targets
             .values()
             .filter(|entry| entry.zone == zone && now_ms.saturating_sub(entry.load_ms) < STALE_MS);
-        let load = |status: &TargetStatus, sequence| TargetLoad {
-            data: status.data,
-            sequence,
-            flows: status.flows,
-            busy: status.busy,
+        let load = |entry: &TargetEntry| {
+            let load = entry.status.as_ref()?.load();
+            Some(TargetLoad { sequence: entry.load_sequence, ..load })
         };
-        let loads: Vec<TargetLoad> = fresh
-            .filter_map(|entry| Some(load(entry.status.as_ref()?, entry.load_sequence)))
-            .collect();
+        let loads: Vec<TargetLoad> = fresh.filter_map(load).collect();
         self.loads.take(&loads, most)
     }
 
@@ -445,11 +378,6 @@
     }
 
     /// Agents to offer a new flow of a service to, best first.
-    ///
-    /// The load that it answers: callers of a zone that open flows in unequal numbers, and zones whose
-    /// targets are fewer than usual. Flows go to the balancer's own zone by bounded-load rendezvous
-    /// hashing; as its slots fill up, targets of all zones are weighed alike. Cold targets come after
-    /// warm ones.
     pub fn opening_chain(
         &self,
         routing: &Routing,
@@ -458,19 +386,13 @@
         home_zone: &str,
         now_ms: u64,
     ) -> Vec<SocketAddrV4> {
-        let mut candidates: Vec<Candidate<'_>> = self
+        let candidates: Vec<Candidate<'_>> = self
             .targets
             .iter()
+            .filter(|(_, entry)| !routing.is_zone_out(&entry.zone))
             .filter_map(|(data, entry)| self.candidate(*data, entry, service, flow_hash, now_ms))
-            .filter(|candidate| !routing.is_zone_out(&candidate.entry.zone))
             .collect();
-        let spills = !prefers_home(&candidates, home_zone);
-        let bounds = Bounds::new(&candidates, home_zone, spills);
-        candidates.sort_by_cached_key(|candidate| {
-            let is_home = spills || candidate.entry.zone == home_zone;
-            (candidate.is_cold, !is_home, !bounds.fits(candidate), u64::MAX - candidate.score)
-        });
-        candidates.iter().take(MAX_OPENING_CHAIN).map(|candidate| candidate.data).collect()
+        placing::order(candidates, home_zone, MAX_OPENING_CHAIN)
     }
 
     /// Notes that a new flow was offered to an agent, until its next status counts it.
@@ -595,17 +517,18 @@
         if !status.phase.takes_flows() || !is_alive || status.service != service {
             return None;
         }
-        let flows = u64::from(status.flows + entry.offered);
-        let score = score(flow_hash, data);
-        Some(Candidate { data, entry, status, is_cold, flows, score })
+        Some(Candidate {
+            data,
+            zone: &entry.zone,
+            slots: u64::from(status.slots.max(1)),
+            flows: u64::from(status.flows + entry.offered),
+            busy: u64::from(status.busy),
+            is_cold,
+            score: score(flow_hash, data),
+        })
     }
 }
 
-/// Whether the first status was sent after the second, or is the same.
-fn is_later(first: &TargetStatus, second: &TargetStatus) -> bool {
-    (first.lifetime, first.sequence) >= (second.lifetime, second.sequence)
-}
-
 /// When a balancer of an agent's zone was last heard, where its word counts for the agent.
 fn vouched_ms(zones_heard_ms: &IndexMap<String, u64>, entry: &TargetEntry) -> Option<u64> {
     let counts = !entry.is_kept && !entry.is_doubted && entry.status.is_some();
@@ -631,65 +554,6 @@
     })
 }
 
-/// A target that may take a new flow.
-struct Candidate<'a> {
-    data: SocketAddrV4,
-    entry: &'a TargetEntry,
-    status: &'a TargetStatus,
-    is_cold: bool,
-    flows: u64,
-    score: u64,
-}
-
-impl Candidate<'_> {
-    fn slots(&self) -> u64 {
-        u64::from(self.status.slots.max(1))
-    }
-}
-
-/// Mean flows a slot, among those that are weighed against each other.
-struct Bounds {
-    flows: u64,
-    slots: u64,
-}
-
-impl Bounds {
-    fn new(candidates: &[Candidate<'_>], home_zone: &str, spills: bool) -> Bounds {
-        let group = candidates
-            .iter()
-            .filter(|candidate| !candidate.is_cold)
-            .filter(|candidate| spills || candidate.entry.zone == home_zone);
-        group.fold(Bounds { flows: 0, slots: 0 }, |bounds, candidate| Bounds {
-            flows: bounds.flows + candidate.flows,
-            slots: bounds.slots + candidate.slots(),
-        })
-    }
-
-    fn fits(&self, candidate: &Candidate<'_>) -> bool {
-        let fair = (self.flows + 1) * candidate.slots() * BOUND_PERCENT;
-        (candidate.flows + 1) * self.slots * 100 <= fair + self.slots * 100
-    }
-}
-
-/// Whether new flows stay in the balancer's zone.
-fn prefers_home(candidates: &[Candidate<'_>], home_zone: &str) -> bool {
-    let busy_percent = |is_home: bool| {
-        let group = candidates
-            .iter()
-            .filter(|candidate| !candidate.is_cold)
-            .filter(|candidate| (candidate.entry.zone == home_zone) == is_home);
-        let (busy, slots) = group.fold((0, 0), |(busy, slots), candidate| {
-            (busy + u64::from(candidate.status.busy), slots + candidate.slots())
-        });
-        (slots > 0).then(|| busy * 100 / slots)
-    };
-    match (busy_percent(true), busy_percent(false)) {
-        (Some(home), Some(away)) => home < HOME_BUSY_PERCENT || home <= away + HOME_MARGIN_PERCENT,
-        (Some(_), None) => true,
-        (None, _) => false,
-    }
-}
-
 fn score(flow_hash: u64, data: SocketAddrV4) -> u64 {
     let id = hash64(data.to_string().as_bytes());
     hash64_with_seed(&id.to_be_bytes(), flow_hash)
--- a/tests/models_reconnect.rs
+++ b/tests/models_reconnect.rs
@@ -21,7 +21,7 @@
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
 use rhubarbthread::process::passthrough::balancer_state::Forwarding;
 use rhubarbthread::process::passthrough::way::Way;
-use rhubarbthread::version::target_table::TargetStatus;
+use rhubarbthread::version::target_status::TargetStatus;
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::agent;
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -15,10 +15,10 @@
 use rhubarbthread::process::passthrough::balancer_state::WaitReason;
 use rhubarbthread::version::routing::Applied;
 use rhubarbthread::version::routing::Configuration;
+use rhubarbthread::version::target_status::TargetStatus;
 use rhubarbthread::version::target_table::HOLD_MS;
 use rhubarbthread::version::target_table::Liveness;
 use rhubarbthread::version::target_table::SILENCE_MS;
-use rhubarbthread::version::target_table::TargetStatus;
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::agent;
--- a/tests/passthrough_spread.rs
+++ b/tests/passthrough_spread.rs
@@ -17,11 +17,11 @@
 use rhubarbthread::version::balancer_table::KEEPERS;
 use rhubarbthread::version::balancer_table::ZONE_SILENCE_MS;
 use rhubarbthread::version::balancer_table::ZoneNews;
+use rhubarbthread::version::target_status::TargetLoad;
+use rhubarbthread::version::target_status::TargetNews;
+use rhubarbthread::version::target_status::TargetStatus;
 use rhubarbthread::version::target_table::Liveness;
 use rhubarbthread::version::target_table::SILENCE_MS;
-use rhubarbthread::version::target_table::TargetLoad;
-use rhubarbthread::version::target_table::TargetNews;
-use rhubarbthread::version::target_table::TargetStatus;
 use rhubarbthread::version::target_table::TargetTable;
 
 use crate::support::passthrough::address;
--- a/tests/passthrough_waiting.rs
+++ b/tests/passthrough_waiting.rs
@@ -17,7 +17,7 @@
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
 use rhubarbthread::process::passthrough::balancer_state::WaitReason;
 use rhubarbthread::version::routing::Configuration;
-use rhubarbthread::version::target_table::TargetStatus;
+use rhubarbthread::version::target_status::TargetStatus;
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::agent;
--- a/tests/support/passthrough.rs
+++ b/tests/support/passthrough.rs
@@ -11,7 +11,7 @@
 use rhubarbthread::version::routing::RouteRule;
 use rhubarbthread::version::routing::ServiceLimits;
 use rhubarbthread::version::routing::WeightedService;
-use rhubarbthread::version::target_table::TargetStatus;
+use rhubarbthread::version::target_status::TargetStatus;
 
 /// A port of a host.
 pub fn address(last: u8, port: u16) -> SocketAddrV4 {
