A probe that was lost long ago makes no agent silent

Cause, by reading: a balancer's first unanswered probe of an agent starts its silence. Where that answer is lost and others tell of the agent, it isn't probed again while its zone vouches for it, and the time stays. When the balancer becomes its keeper, or a keeper misses it, the agent counts as silent at once, without 1.2 s of probes; flows whose requests may be repeated are then reset. Now silence is forgotten in each round in which the agent isn't probed. The test fails without.

--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -298,6 +298,9 @@
             if is_awaited || (is_round && (is_stale || is_suspected || entry.is_kept)) {
                 let is_home = entry.zone == home_zone;
                 if is_home { &mut due } else { &mut far }.push(*data);
+            } else if is_round {
+                // A probe that was lost before others vouched for the agent proves nothing later.
+                entry.probed_ms = None;
             }
         }
         due.extend(self.far_probes.take(&far, MAX_FAR_PROBES));
--- a/tests/passthrough_spread.rs
+++ b/tests/passthrough_spread.rs
@@ -453,6 +453,30 @@
         assert!(targets.update(answer, 0, 12_400), "others have to hear that it is back");
         assert_eq!(targets.liveness(agent(21), 12_400), Some(Liveness::Alive));
     };
+    a_probe_that_was_lost_long_ago_makes_no_agent_silent: {
+        // Its answer was lost as the balancer started; others told of the agent, and it was probed no more.
+        // Later the balancer became its keeper, or a keeper missed it: it counted as silent at once, and an
+        // open flow was reset.
+        let became_keeper = |targets: &mut TargetTable| {
+            targets.take_due_probes(true, |_, _| true, "a", 20_300);
+        };
+        let is_missed = |targets: &mut TargetTable| {
+            assert!(targets.hear(&silent_news(1), 20_300));
+        };
+        let cases: [&dyn Fn(&mut TargetTable); 2] = [&became_keeper, &is_missed];
+        for case in cases {
+            let mut targets = TargetTable::new();
+            targets.learn(agent(21), address(21, 7720), "b", 0);
+            assert_eq!(targets.take_due_probes(false, |_, _| false, "a", 100), [agent(21)]);
+            let told = TargetNews { age_ms: 5_000, is_silent: false, ..silent_news(1) };
+            targets.hear(&told, 200);
+            targets.hear_zone("b", 20_000);
+            assert!(targets.take_due_probes(true, |_, _| false, "a", 20_000).is_empty());
+            case(&mut targets);
+            assert_eq!(targets.liveness(agent(21), 20_300), Some(Liveness::Awaited));
+            assert!(targets.take_silent(20_300).is_empty());
+        }
+    };
     a_word_of_silence_that_is_older_than_what_is_known_changes_nothing: {
         let mut targets = vouched_agent();
         targets.update(TargetStatus { sequence: 9, ..status_of(21, "b", "vypocet") }, 0, 9_000);
