--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -339,7 +339,9 @@
 
     /// Whether a target of these services may take flows in a moment.
     fn may_take_soon(&self, services: &[&str], now_ms: u64) -> bool {
-        !self.targets.is_settled(now_ms) || self.targets.has_starting(services, now_ms)
+        !self.knows_all_agents
+            || !self.targets.is_settled(now_ms)
+            || self.targets.has_starting(services, now_ms)
     }
 
     /// Any other segment goes to the agent that holds the flow, or is searched for.
--- a/tests/passthrough_waiting.rs
+++ b/tests/passthrough_waiting.rs
@@ -138,6 +138,18 @@
         balancer.targets.update(status(1, TargetPhase::Cold, 2), 0, 3);
         assert_eq!(due(&mut balancer, 3), [opening(1)]);
     };
+    an_opening_waits_until_a_balancer_that_starts_has_read_the_agents: {
+        // With a configuration and no agent read yet, openings were refused.
+        let mut balancer = balancer(&[], TargetPhase::Serving);
+        balancer.knows_all_agents = false;
+        assert_eq!(balancer.forward(&opening(1), 1), Forwarding::Wait(WaitReason::NoTargetYet));
+        wait(&mut balancer, &opening(1), 1);
+        assert_eq!(due(&mut balancer, 2), []);
+        balancer.knows_all_agents = true;
+        assert_eq!(due(&mut balancer, 3), [opening(1)]);
+        let forwarding = balancer.forward(&opening(1), 3);
+        assert_eq!(forwarding, Forwarding::Reset(ResetReason::NoTarget));
+    };
     an_opening_does_not_wait_for_a_target_that_leaves: {
         let mut balancer = balancer(&[1], TargetPhase::Leaving);
         let forwarding = balancer.forward(&opening(1), 1);
