A target that breaks off requests or turns slow gets new flows only where nobody else is left

Cause: placing looked at load only. With a fifth of the targets resetting 60% of their requests and saying that they are well, flows came back to them as often as to others. Each agent counts what it sees of its own target: answers and the time to them against what is usual there, requests that are reset or left without an answer. A failing target passes openings on while others are left in the chain, but for one trial a second; four good answers in a row end that. No message changes. Ruled out: comparing targets at the balancers (a longer status, and words that are seconds old).

--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// What a target's segment means for a caller that waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// It begins the answer, after this time in milliseconds.
+    Begun {
+        /// The time.
+        waited_ms: u64,
+    },
+    /// It resets the flow instead.
+    BrokenOff,
+}
+
 /// What became of a flow here.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Holding {
@@ -162,10 +174,10 @@
         });
     }
 
-    /// Notes a segment that the target sent on one of its flows. Returns how long the caller has waited
-    /// for it, in milliseconds, where it begins an answer.
-    pub fn note_from_target(&mut self, segment: &Segment, now_ms: u64) -> Option<u64> {
-        let mut waited_ms = None;
+    /// Notes a segment that the target sent on one of its flows. Returns what it means for the caller, where
+    /// that one waits for an answer.
+    pub fn note_from_target(&mut self, segment: &Segment, now_ms: u64) -> Option<Answer> {
+        let mut answer = None;
         self.change(segment.flow, |held| {
             held.seen_ms = now_ms;
             if segment.accepts {
@@ -175,16 +187,21 @@
             }
             held.answered |= !segment.resets;
             held.is_expected &= !segment.resets;
-            held.target_ended |= segment.ends || segment.resets;
-            held.caller_ended |= segment.resets;
             if segment.payload_bytes > 0 || segment.resets {
-                if held.is_busy && !segment.resets {
-                    waited_ms = Some(now_ms.saturating_sub(held.busy_since_ms));
-                }
+                answer = match segment.resets {
+                    // What a caller sends after the end of a flow is reset by any target.
+                    _ if !held.is_busy || held.target_ended => None,
+                    true => Some(Answer::BrokenOff),
+                    false => {
+                        Some(Answer::Begun { waited_ms: now_ms.saturating_sub(held.busy_since_ms) })
+                    }
+                };
                 held.is_busy = false;
             }
+            held.target_ended |= segment.ends || segment.resets;
+            held.caller_ended |= segment.resets;
         });
-        waited_ms
+        answer
     }
 
     /// No longer expects requests that have not come in time.
@@ -211,8 +228,9 @@
         *self = HeldFlows::new();
     }
 
-    /// Drops ended flows after a while, and others after `idle_ms` without a segment, or a minute.
-    pub fn expire(&mut self, now_ms: u64, idle_ms: u64) {
+    /// Drops ended flows after a while, and others after `idle_ms` without a segment, or a minute. Returns
+    /// how many requests have been left without an answer.
+    pub fn expire(&mut self, now_ms: u64, idle_ms: u64) -> usize {
         let is_over = |held: &HeldFlow| {
             let limit_ms =
                 if held.has_ended() { ENDED_MEMORY_MS } else { idle_ms.max(MIN_IDLE_MS) };
@@ -224,14 +242,15 @@
             .filter(|(_, held)| held.is_busy && now_ms.saturating_sub(held.seen_ms) > BUSY_MS)
             .map(|(flow, _)| *flow)
             .collect();
-        for flow in stuck {
-            self.change(flow, |held| held.is_busy = false);
+        for flow in &stuck {
+            self.change(*flow, |held| held.is_busy = false);
         }
         let over: Vec<FlowKey> =
             self.flows.iter().filter(|(_, held)| is_over(held)).map(|(flow, _)| *flow).collect();
         for flow in over {
             self.forget(&flow);
         }
+        stuck.len()
     }
 
     fn change(&mut self, flow: FlowKey, change: impl FnOnce(&mut HeldFlow)) {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,4 +9,5 @@
 pub mod segment;
 pub mod tag;
 pub mod target_gate;
+pub mod target_health;
 pub mod waiting_segments;
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -146,11 +146,13 @@
     Busy,
     /// As many requests wait as are at work.
     Full,
+    /// The target breaks off requests or has become slow, and others can take the flow.
+    Failing,
 }
 
 impl Refused {
     /// All reasons, for metrics and docs.
-    pub const ALL: [Refused; 10] = [
+    pub const ALL: [Refused; 11] = [
         Refused::NotIntroduced,
         Refused::TargetSilent,
         Refused::OtherService,
@@ -161,6 +163,7 @@
         Refused::Flows,
         Refused::Busy,
         Refused::Full,
+        Refused::Failing,
     ];
 
     /// Label of this reason in metrics and logs.
@@ -176,6 +179,7 @@
             Refused::Flows => "flows",
             Refused::Busy => "busy",
             Refused::Full => "full",
+            Refused::Failing => "failing",
         }
     }
 }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::connection::flow_key::FlowKey;
+use crate::connection::held_flows::Answer;
 use crate::connection::held_flows::HeldFlows;
 use crate::connection::held_flows::Holding;
 use crate::connection::segment::Segment;
@@ -13,6 +14,7 @@
 use crate::connection::target_gate::TargetGate;
 use crate::connection::target_gate::TargetLoad;
 use crate::connection::target_gate::TargetPhase;
+use crate::connection::target_health::TargetHealth;
 use crate::process::passthrough::message::Probe;
 use crate::process::passthrough::way::Way;
 use crate::version::introduction::Introduction;
@@ -78,6 +80,8 @@
     pub gate: TargetGate,
     /// Its flows.
     pub flows: HeldFlows,
+    /// How the target answers.
+    pub health: TargetHealth,
     /// Which balancers know of the agent.
     pub introduction: Introduction,
     given: Vec<Option<Given>>,
@@ -94,6 +98,7 @@
         AgentState {
             gate: TargetGate::new(silence_ms),
             flows: HeldFlows::new(),
+            health: TargetHealth::new(),
             introduction: Introduction::new(),
             given: vec![None; SLOTS as usize],
             next_slot: 1,
@@ -171,7 +176,17 @@
         if holding == Holding::Held {
             self.gate.note_life_sign(now_ms);
         }
-        let waited_ms = self.flows.note_from_target(segment, now_ms);
+        let waited_ms = match self.flows.note_from_target(segment, now_ms) {
+            Some(Answer::Begun { waited_ms }) => {
+                self.health.note_answer(waited_ms, now_ms);
+                Some(waited_ms)
+            }
+            Some(Answer::BrokenOff) => {
+                self.health.note_broken_off(now_ms);
+                None
+            }
+            None => None,
+        };
         Step::GiveToCaller { tell: self.asked.swap_remove(&segment.flow), waited_ms }
     }
 
@@ -190,6 +205,7 @@
 
     /// The target's process has ended, as its host says, or left.
     pub fn forget_flows(&mut self) {
+        self.health = TargetHealth::new();
         self.flows.clear();
         self.asked.clear();
     }
@@ -197,7 +213,8 @@
     /// Drops what is over.
     pub fn expire(&mut self, now_ms: u64) {
         self.flows.expire_expected(now_ms);
-        self.flows.expire(now_ms, self.idle_timeout_ms);
+        let unanswered = self.flows.expire(now_ms, self.idle_timeout_ms);
+        (0..unanswered).for_each(|_| self.health.note_broken_off(now_ms));
         if self.asked.len() > SLOTS as usize {
             self.asked.clear();
         }
@@ -221,6 +238,13 @@
             is_copy: self.flows.holding(&segment.flow) != Holding::Unknown,
             is_late: way.is_late,
         };
+        if offer.may_pass
+            && !offer.is_copy
+            && self.health.is_failing()
+            && !self.health.takes_trial(now_ms)
+        {
+            return go_on(way, Some(Refused::Failing));
+        }
         match self.gate.admit(&offer, load, now_ms) {
             Ok(()) => {
                 self.flows.note_to_target(segment, now_ms);
