An opening that meets full targets keeps its place for as long as its caller waits

How long and how often is a module of its own, offering: 1.3 s of the 1.4 s that a caller waits, each 50 ms for 0.1 s, then each 100 ms, behind fresh ones as before.

--- a/src/connection/found_flows.rs
+++ b/src/connection/found_flows.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::connection::flow_key::FlowKey;
+use crate::connection::offering;
 
 /// Most flows that are remembered; 16 million flows over 670 balancers are 24,000 each, and a
 /// balancer may stand in for several others.
@@ -24,13 +25,6 @@
 /// Time in which a refusal must be back, in milliseconds: callers send a copy after 200 ms.
 const REFUSAL_MS: u64 = 150;
 
-/// Time in which an opening is offered again while all targets are full, in milliseconds: a latency
-/// objective; later the caller is better off with a refusal.
-const OFFER_MS: u64 = 400;
-
-/// Time between two offers of an opening, in milliseconds: the work of a request, in which slots are freed.
-const OFFER_INTERVAL_MS: u64 = 50;
-
 /// Time after which a search counts as held up, in milliseconds: a chain takes a few milliseconds, and
 /// callers send again after 200 ms.
 const HELD_UP_MS: u64 = 150;
@@ -195,14 +189,15 @@
     pub fn may_offer_again(&self, flow: &FlowKey, now_ms: u64) -> bool {
         self.entries
             .get(flow)
-            .is_some_and(|entry| now_ms.saturating_sub(entry.first_offered_ms) < OFFER_MS)
+            .is_some_and(|entry| offering::goes_on(now_ms.saturating_sub(entry.first_offered_ms)))
     }
 
     /// Whether the last offer of a flow's opening is so old that the next one may be made.
     pub fn is_offer_due(&self, flow: &FlowKey, now_ms: u64) -> bool {
-        self.entries
-            .get(flow)
-            .is_none_or(|entry| now_ms.saturating_sub(entry.offered_ms) >= OFFER_INTERVAL_MS)
+        self.entries.get(flow).is_none_or(|entry| {
+            let waited_ms = entry.offered_ms.saturating_sub(entry.first_offered_ms);
+            now_ms.saturating_sub(entry.offered_ms) >= offering::interval_ms(waited_ms)
+        })
     }
 
     /// Notes that an offer has come back. Says whether it is the newest and nobody has taken the flow.
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod flow_key;
 pub mod found_flows;
 pub mod held_flows;
+pub mod offering;
 pub mod openings;
 pub mod segment;
 pub mod tag;
