Balancers have 60 ms to answer an agent that starts, not 160

The time is not what makes it safe: a balancer that is late has the word in its queue ahead of what would make it reset a flow. It covers a round trip between any two zones and lost datagrams, four of which are sent as before, each 15 ms.

--- a/src/process/passthrough/agent_introduction.rs
+++ b/src/process/passthrough/agent_introduction.rs
@@ -19,7 +19,7 @@
 
 /// Time between two rounds of telling balancers that may not know of this agent: a quarter of the time
 /// that they have.
-const INTRODUCTION_PAUSE: Duration = Duration::from_millis(40);
+const INTRODUCTION_PAUSE: Duration = Duration::from_millis(15);
 
 /// Writes the agent's entry, and then tells the balancers that may not know of it yet.
 pub(super) async fn register(shared: Arc<Shared>) {
--- a/src/version/introduction.rs
+++ b/src/version/introduction.rs
@@ -8,11 +8,11 @@
 
 use indexmap::IndexSet;
 
-/// Time that a balancer has to answer, in milliseconds: it is told each 40 ms, four times. One that has
+/// Time that a balancer has to answer, in milliseconds: it is told each 15 ms, four times. One that has
 /// not answered by then is gone, cut off, or slow and has the datagrams in its queue, before any that
 /// would make it reset a flow. After a loss of power openings wait this long for each balancer that does
 /// not come back.
-const ANSWER_MS: u64 = 160;
+const ANSWER_MS: u64 = 60;
 
 /// Time that the balancer that probes first has to tell all others, in milliseconds, where the store
 /// does not name them: it does so at once, and with the states that balancers send each 600 ms.
