A request without an answer speaks against a target only where answers usually come sooner

Cause, found by reading: requests of which nothing was heard for 2 s counted as broken off whatever the service does. Where answers take longer by nature, all targets would have been called failing, and each opening would have gone through all of a chain. Test: a_request_without_an_answer_counts_where_answers_usually_come_soon, failed first (did not compile).

--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -16,7 +16,7 @@
 
 /// Time without a segment, in milliseconds, after which a caller no longer waits: it sends its request
 /// again after 1.6 s at the latest.
-const BUSY_MS: u64 = 2_000;
+pub const BUSY_MS: u64 = 2_000;
 
 /// Time, in milliseconds, in which the first request of a flow that opens is expected: two round trips
 /// between any two zones, and what a slow balancer adds.
@@ -229,7 +229,7 @@
     }
 
     /// Drops ended flows after a while, and others after `idle_ms` without a segment, or a minute. Returns
-    /// how many requests have been left without an answer.
+    /// how many requests have been left without an answer for [`BUSY_MS`].
     pub fn expire(&mut self, now_ms: u64, idle_ms: u64) -> usize {
         let is_over = |held: &HeldFlow| {
             let limit_ms =
--- a/src/connection/target_health.rs
+++ b/src/connection/target_health.rs
@@ -22,7 +22,7 @@
 const MIN_ANSWERS: usize = 8;
 const MAX_ANSWERS: usize = 16;
 
-/// Answers after which the usual time to an answer is known.
+/// Answers after which the usual time to the next one is known.
 const USUAL_ANSWERS: u64 = 32;
 
 /// Times the usual time that make a target slow: a cold target with a full queue takes 3.2 times as long.
@@ -75,24 +75,29 @@
     /// An answer has begun, `waited_ms` after its request.
     pub fn note_answer(&mut self, waited_ms: u64, now_ms: u64) {
         self.note(Outcome { at_ms: now_ms, waited_ms: Some(waited_ms) });
+        let most_us = if self.knows_usual() { self.usual_us * MOST_TIMES_USUAL } else { u64::MAX };
+        let waited_us = (waited_ms * US_PER_MS).min(most_us);
         self.answers += 1;
         let mean_of = match self.is_failing {
             true => FAILING_MEAN_ANSWERS,
             false => self.answers.min(USUAL_MEAN_ANSWERS),
         };
-        let most_us = match self.answers > USUAL_ANSWERS {
-            true => self.usual_us * MOST_TIMES_USUAL,
-            false => u64::MAX,
-        };
-        let waited_us = (waited_ms * US_PER_MS).min(most_us);
         self.usual_us = (self.usual_us * (mean_of - 1) + waited_us) / mean_of;
     }
 
-    /// The target has broken a request off, or left it without an answer.
+    /// The target has broken a request off.
     pub fn note_broken_off(&mut self, now_ms: u64) {
         self.note(Outcome { at_ms: now_ms, waited_ms: None });
     }
 
+    /// The target has left a request without an answer for `waited_ms`. It counts as broken off where answers
+    /// usually come much sooner.
+    pub fn note_unanswered(&mut self, waited_ms: u64, now_ms: u64) {
+        if self.knows_usual() && waited_ms > self.slow_ms() {
+            self.note_broken_off(now_ms);
+        }
+    }
+
     /// Whether new flows are better off elsewhere.
     pub fn is_failing(&self) -> bool {
         self.is_failing
@@ -134,7 +139,7 @@
     fn is_slow(&self) -> bool {
         let waits_ms = self.outcomes.iter().rev().filter_map(|outcome| outcome.waited_ms);
         let mut waits_ms: Vec<u64> = waits_ms.take(MAX_ANSWERS).collect();
-        if self.answers < USUAL_ANSWERS || waits_ms.len() < MIN_ANSWERS {
+        if !self.knows_usual() || waits_ms.len() < MIN_ANSWERS {
             return false;
         }
         let middle = waits_ms.len() / 2;
@@ -142,6 +147,10 @@
         *median_ms > self.slow_ms()
     }
 
+    fn knows_usual(&self) -> bool {
+        self.answers >= USUAL_ANSWERS
+    }
+
     /// Time to an answer from which it is a slow one, in milliseconds.
     fn slow_ms(&self) -> u64 {
         self.usual_us * SLOW_FACTOR / US_PER_MS + SLOW_MARGIN_MS
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::flow_key::FlowKey;
 use crate::connection::held_flows::Answer;
+use crate::connection::held_flows::BUSY_MS;
 use crate::connection::held_flows::HeldFlows;
 use crate::connection::held_flows::Holding;
 use crate::connection::segment::Segment;
@@ -214,7 +215,7 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.flows.expire_expected(now_ms);
         let unanswered = self.flows.expire(now_ms, self.idle_timeout_ms);
-        (0..unanswered).for_each(|_| self.health.note_broken_off(now_ms));
+        (0..unanswered).for_each(|_| self.health.note_unanswered(BUSY_MS, now_ms));
         if self.asked.len() > SLOTS as usize {
             self.asked.clear();
         }
