A request that its caller cancels does not speak against the target

Cause, found by reading: a flow that its caller had reset with a request under way still counted as one without an answer, two seconds later. Test: requests_that_their_callers_have_cancelled_speak_against_nobody, failed first.

--- a/src/connection/held_flows.rs
+++ b/src/connection/held_flows.rs
@@ -239,7 +239,8 @@
         let stuck: Vec<FlowKey> = self
             .flows
             .iter()
-            .filter(|(_, held)| held.is_busy && now_ms.saturating_sub(held.seen_ms) > BUSY_MS)
+            .filter(|(_, held)| held.is_busy && !held.has_ended())
+            .filter(|(_, held)| now_ms.saturating_sub(held.seen_ms) > BUSY_MS)
             .map(|(flow, _)| *flow)
             .collect();
         for flow in &stuck {
--- a/tests/passthrough_health.rs
+++ b/tests/passthrough_health.rs
@@ -283,6 +283,21 @@
         (0..4).for_each(|_| patient.note_unanswered(2_000, 80_000));
         assert!(!patient.is_failing(), "its answers take as long");
     };
+    requests_that_their_callers_have_cancelled_speak_against_nobody: {
+        let mut state = ready_agent(1);
+        usual(&mut state.health);
+        for port in 1..=4 {
+            state.from_node(&opening_of(ROUTE, port), first_way(), 1_001);
+            let accepts = Segment { accepts: true, sequence: 7, ..segment_of(ROUTE, port) };
+            state.from_target(&accepts, 1_002);
+            let request = Segment { payload_bytes: 50, acknowledged: 8, ..segment_of(ROUTE, port) };
+            state.from_node(&request, Way::default(), 1_003);
+            let cancel = Segment { resets: true, ..segment_of(ROUTE, port) };
+            state.from_node(&cancel, Way::default(), 1_004);
+        }
+        state.expire(7_000);
+        assert!(!state.health.is_failing());
+    };
     requests_that_an_agent_sees_without_an_answer_make_its_target_fail: {
         let mut state = ready_agent(1);
         usual(&mut state.health);
