A cold target is offered flows only once its agent knows how much it bears

Cause: with 60 ms for introductions an agent can be done with them before a balancer's answer brings the limits of its service. Such a reset is a refusal that is not true: the target takes flows a moment later. The agent now counts as starting until then, and openings wait as they do for others that start; balancers probe an agent that starts at once. Test: a_cold_target_counts_as_starting_until_its_limits_are_told, failed first.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -69,7 +69,8 @@
     Leaving,
     /// Has ended; its flows are gone.
     Ended,
-    /// Its agent has only just started, and waits until every balancer knows of it.
+    /// Its agent has only just started, and waits until every balancer knows of it, or until it is told how
+    /// much a cold target bears.
     Introducing,
 }
 
@@ -379,6 +380,18 @@
         }
     }
 
+    /// Whether the target is cold and a balancer has yet to tell how much it bears.
+    pub fn awaits_limits(&self, now_ms: u64) -> bool {
+        self.phase(now_ms) == TargetPhase::Cold && self.known_limits().is_none()
+    }
+
+    /// The limits that are known of the target's service.
+    fn known_limits(&self) -> Option<GateLimits> {
+        let service = &self.known()?.service;
+        let (_, limits) = self.limits.as_ref().filter(|(name, _)| name == service)?;
+        Some(*limits)
+    }
+
     /// Decides on a segment that opens a flow.
     ///
     /// The load that it answers: more openings than the targets bear, as when everybody comes back after a
@@ -408,8 +421,7 @@
             return Err(Refused::ZoneOut);
         }
         let is_cold = life.cold_until_ms > now_ms;
-        let limits = self.limits.as_ref().filter(|(name, _)| name == offer.service);
-        let limits = limits.map(|(_, limits)| *limits);
+        let limits = self.known_limits();
         if !offer.is_copy {
             check_load(offer, load, life.report.slots, limits)?;
         }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -116,7 +116,8 @@
             return TargetPhase::Ended;
         }
         let phase = self.gate.phase(now_ms);
-        match phase.takes_flows() && !self.introduction.is_done(now_ms) {
+        let is_ready = self.introduction.is_done(now_ms) && !self.gate.awaits_limits(now_ms);
+        match phase.takes_flows() && !is_ready {
             true => TargetPhase::Introducing,
             false => phase,
         }
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -382,6 +382,19 @@
         assert_eq!(agent.phase(59), TargetPhase::Introducing);
         assert_eq!(agent.phase(60), TargetPhase::Serving);
     };
+    a_cold_target_counts_as_starting_until_its_limits_are_told: {
+        // Openings were refused as nobody took them, a moment before the limits came.
+        let mut agent = AgentState::new(SILENCE_MS, 0);
+        agent.gate.report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 1) }, 0);
+        agent.introduction.note_named(IndexSet::new(), 0);
+        assert_eq!(agent.phase(1), TargetPhase::Introducing);
+        let other = Probe { service: "zpravy".to_owned(), ..probe_from(address(9, 7720)) };
+        agent.take_probe(&other, 2);
+        assert_eq!(agent.phase(2), TargetPhase::Introducing);
+        let probe = Probe { service: "vypocet".to_owned(), ..probe_from(address(9, 7720)) };
+        agent.take_probe(&probe, 3);
+        assert_eq!(agent.phase(3), TargetPhase::Cold);
+    };
     an_agent_without_balancers_is_found_in_the_store: {
         let mut agent = fresh_agent(&[]);
         assert_eq!(agent.phase(0), TargetPhase::Serving);
