--- a/tests/passthrough_health.rs
+++ b/tests/passthrough_health.rs
@@ -209,6 +209,15 @@
     (0..64).for_each(|step| health.note_answer(60, step * 10));
 }
 
+/// Opens a flow at an agent, whose target accepts it and gets a request.
+fn ask_at(state: &mut AgentState, port: u16, now_ms: u64) {
+    state.from_node(&opening_of(ROUTE, port), first_way(), now_ms);
+    let accepts = Segment { accepts: true, sequence: 7, ..segment_of(ROUTE, port) };
+    state.from_target(&accepts, now_ms + 1);
+    let request = Segment { payload_bytes: 50, acknowledged: 8, ..segment_of(ROUTE, port) };
+    state.from_node(&request, Way::default(), now_ms + 2);
+}
+
 cases! {
     a_target_that_answers_is_well: {
         let mut health = TargetHealth::new();
@@ -287,11 +296,7 @@
         let mut state = ready_agent(1);
         usual(&mut state.health);
         for port in 1..=4 {
-            state.from_node(&opening_of(ROUTE, port), first_way(), 1_001);
-            let accepts = Segment { accepts: true, sequence: 7, ..segment_of(ROUTE, port) };
-            state.from_target(&accepts, 1_002);
-            let request = Segment { payload_bytes: 50, acknowledged: 8, ..segment_of(ROUTE, port) };
-            state.from_node(&request, Way::default(), 1_003);
+            ask_at(&mut state, port, 1_001);
             let cancel = Segment { resets: true, ..segment_of(ROUTE, port) };
             state.from_node(&cancel, Way::default(), 1_004);
         }
@@ -301,13 +306,7 @@
     requests_that_an_agent_sees_without_an_answer_make_its_target_fail: {
         let mut state = ready_agent(1);
         usual(&mut state.health);
-        for port in 1..=4 {
-            state.from_node(&opening_of(ROUTE, port), first_way(), 1_001);
-            let accepts = Segment { accepts: true, sequence: 7, ..segment_of(ROUTE, port) };
-            state.from_target(&accepts, 1_002);
-            let request = Segment { payload_bytes: 50, acknowledged: 8, ..segment_of(ROUTE, port) };
-            state.from_node(&request, Way::default(), 1_003);
-        }
+        (1..=4).for_each(|port| ask_at(&mut state, port, 1_001));
         state.expire(7_000);
         assert!(state.health.is_failing());
     };
