Balancer: a reset needs an answer of every agent that may hold the flow now

(1) An agent whose target had ended was left out of searches. Every agent reports that its target has ended if it starts before it; another process starts there, reports, and takes flows at once. A balancer that missed that change (a lost datagram, or its own start) left the agent out until the rotation of updates reached it, tens of seconds at this size. The sentence in docs/PLATFORM.md that only the own host reports an ended target is true, but nobody has to know that the next one runs. (2) A search asks the agents that are known when it begins. An agent that introduces itself meanwhile was not asked: notifications and returned segments come through the control socket, the segment itself through another one. (3) Of more than eight unavailable agents only eight got a copy; if all became available during the search, nothing waited for the others. Change: running agents with an ended target are asked last; a search records a fingerprint of the agents that it asks, and where another set would be asked now, it begins again instead of resetting. Ruled out: a longer wait of the agent (it hides the order, and costs).

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -39,6 +39,8 @@
     search_window_start_ms: u64,
     search_id: u32,
     search_started_ms: u64,
+    /// Fingerprint of the agents that the last search asks.
+    searched_agents: u64,
     pending_chains: usize,
     last_offered_ms: u64,
     first_offered_ms: u64,
@@ -127,12 +129,13 @@
         self.entries.swap_remove(flow);
     }
 
-    /// Starts a search along `chains` chains of agents and returns its id, or `None` if `is_limited` is set
-    /// and the limit on searches for a flow is reached.
+    /// Starts a search along `chains` chains with the agents of this fingerprint and returns its id, or
+    /// `None` if `is_limited` is set and the limit on searches for a flow is reached.
     pub fn begin_search(
         &mut self,
         flow: FlowKey,
         chains: usize,
+        searched_agents: u64,
         is_limited: bool,
         now_ms: u64,
     ) -> Option<u32> {
@@ -148,10 +151,16 @@
         entry.search_count += 1;
         entry.search_id = search_id;
         entry.search_started_ms = now_ms;
+        entry.searched_agents = searched_agents;
         entry.pending_chains = chains;
         Some(search_id)
     }
 
+    /// Whether the last search for the flow asked the agents of this fingerprint.
+    pub fn has_searched(&self, flow: &FlowKey, agents: u64) -> bool {
+        self.entries.get(flow).is_some_and(|entry| entry.searched_agents == agents)
+    }
+
     /// Whether a search for the flow is pending and has not timed out.
     pub fn is_search_pending(&self, flow: &FlowKey, now_ms: u64) -> bool {
         self.pending_search_ms(flow, now_ms)
@@ -269,6 +278,7 @@
             search_window_start_ms: now_ms,
             search_id: 0,
             search_started_ms: now_ms,
+            searched_agents: 0,
             pending_chains: 0,
             last_offered_ms: 0,
             first_offered_ms: 0,
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -243,6 +243,14 @@
             Some(_) if !self.is_route_idempotent(&flow) => {
                 ForwardingDecision::Drop(DropReason::LossUnproven)
             }
+            // An agent that became known or available during the search was not asked.
+            Some(_) | None
+                if !self
+                    .flow_locations
+                    .has_searched(&flow, self.targets.searchable_fingerprint(now_ms)) =>
+            {
+                self.start_search(segment, now_ms)
+            }
             Some(_) | None => {
                 self.waiting_segments.take_flow(&flow);
                 ForwardingDecision::Reset(ResetReason::NotHeld)
@@ -439,7 +447,13 @@
         }
         let is_limited = search.has_awaited;
         let chains = search.chains.len();
-        let search_id = self.flow_locations.begin_search(segment.flow, chains, is_limited, now_ms);
+        let search_id = self.flow_locations.begin_search(
+            segment.flow,
+            chains,
+            search.fingerprint,
+            is_limited,
+            now_ms,
+        );
         let report_to = Some(self.control_address);
         let mut destinations: Vec<(SocketAddrV4, SegmentHeader)> = search
             .unavailable
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -65,6 +65,8 @@
 
 #[derive(Debug)]
 struct TargetEntry {
+    /// Hash of the data address.
+    id: u64,
     control: SocketAddrV4,
     zone: String,
     known_since_ms: u64,
@@ -101,9 +103,10 @@
         self.offered_flows = 0;
     }
 
-    /// Whether the target may hold flows: its status is unknown, or its phase is not `Ended`.
-    fn may_hold_flows(&self) -> bool {
-        self.status.as_ref().is_none_or(|status| status.phase != TargetPhase::Ended)
+    /// Whether the target has ended, as of the agent's last status. While the agent runs, another target
+    /// process may have started there since, and may hold flows; a new agent introduces itself first.
+    fn has_ended(&self) -> bool {
+        self.status.as_ref().is_some_and(|status| status.phase == TargetPhase::Ended)
     }
 }
 
@@ -129,6 +132,8 @@
     pub unavailable: Vec<SocketAddrV4>,
     /// Whether an agent that may hold the flow is [`Liveness::Awaited`].
     pub has_awaited: bool,
+    /// Fingerprint of the agents in `chains`; see [`TargetTable::searchable_fingerprint`].
+    pub fingerprint: u64,
 }
 
 /// The targets known to a balancer, by the data addresses of their agents.
@@ -160,6 +165,7 @@
             return false;
         }
         let entry = TargetEntry {
+            id: hash64(data.to_string().as_bytes()),
             control,
             zone: zone.to_owned(),
             known_since_ms: now_ms,
@@ -424,40 +430,52 @@
     }
 
     /// All agents that may hold a flow, ordered by service as in `services`, then by rendezvous score;
-    /// agents of other services come last.
+    /// agents of other services come next, those whose target has ended last.
     pub fn search(&self, services: &[&str], flow_hash: u64, now_ms: u64) -> Search {
         let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
-            if !entry.may_hold_flows() {
+            let liveness = self.liveness_of(entry, now_ms);
+            if entry.has_ended() && liveness != Liveness::Alive {
                 continue;
             }
             let status = entry.status.as_ref();
             let service = status.map_or("", |status| status.service.as_str());
-            let rank = services.iter().position(|name| *name == service);
-            let rank = rank.unwrap_or(services.len());
-            let score = u64::MAX - score(flow_hash, *data);
-            ranked.push((rank, score, *data, entry));
+            let service_rank = services.iter().position(|name| *name == service);
+            let service_rank = service_rank.unwrap_or(services.len());
+            let score = u64::MAX - score(flow_hash, entry.id);
+            ranked.push(((entry.has_ended(), service_rank, score), *data, entry, liveness));
         }
-        ranked.sort_unstable_by_key(|(rank, score, ..)| (*rank, *score));
+        ranked.sort_unstable_by_key(|(rank, ..)| *rank);
         let mut chains: IndexMap<&str, Vec<SocketAddrV4>> = IndexMap::new();
         let mut search = Search::default();
-        for (.., data, entry) in ranked {
-            let liveness = self.liveness_of(entry, now_ms);
-            match liveness {
-                Liveness::Alive => chains.entry(&entry.zone).or_default().push(data),
-                Liveness::Awaited | Liveness::Silent => search.unavailable.push(data),
+        for (_, data, entry, liveness) in ranked {
+            if liveness == Liveness::Alive {
+                chains.entry(&entry.zone).or_default().push(data);
+                search.fingerprint = search.fingerprint.wrapping_add(entry.id);
+            } else {
+                search.unavailable.push(data);
+                search.has_awaited |= liveness == Liveness::Awaited;
             }
-            search.has_awaited |= liveness == Liveness::Awaited;
         }
         let parts = chains.values().flat_map(|chain| chain.chunks(MAX_SEARCH_CHAIN));
         search.chains = parts.map(<[SocketAddrV4]>::to_vec).collect();
         search
     }
 
+    /// Fingerprint of the agents that a search would ask now. It differs from that of an earlier search if
+    /// an agent has become known or available since.
+    pub fn searchable_fingerprint(&self, now_ms: u64) -> u64 {
+        let alive = self
+            .targets
+            .values()
+            .filter(|entry| self.liveness_of(entry, now_ms) == Liveness::Alive);
+        alive.fold(0, |sum, entry| sum.wrapping_add(entry.id))
+    }
+
     /// State of the agents that may hold a flow and are not alive: `Awaited` if any of them is awaited,
     /// else `Silent`; `None` if all are alive.
     pub fn unavailable_holder_liveness(&self, now_ms: u64) -> Option<Liveness> {
-        let holders = self.targets.values().filter(|entry| entry.may_hold_flows());
+        let holders = self.targets.values().filter(|entry| !entry.has_ended());
         holders
             .map(|entry| self.liveness_of(entry, now_ms))
             .filter(|liveness| *liveness != Liveness::Alive)
@@ -557,7 +575,7 @@
             flows: u64::from(status.flows + entry.offered_flows),
             busy: u64::from(status.busy),
             is_cold,
-            score: score(flow_hash, data),
+            score: score(flow_hash, entry.id),
         })
     }
 }
@@ -601,7 +619,7 @@
     })
 }
 
-fn score(flow_hash: u64, data: SocketAddrV4) -> u64 {
-    let id = hash64(data.to_string().as_bytes());
+/// Rendezvous score of the agent with this id for a flow.
+fn score(flow_hash: u64, id: u64) -> u64 {
     hash64_with_seed(&id.to_be_bytes(), flow_hash)
 }
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rhubarbthread::connection::segment::Segment;
+use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
 use rhubarbthread::process::passthrough::balancer_state::DropReason;
 use rhubarbthread::process::passthrough::balancer_state::ForwardingDecision;
@@ -261,6 +262,57 @@
         let decision = return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 1);
         assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
     };
+    a_target_that_started_again_is_asked_by_a_balancer_that_missed_it: {
+        // Beside a running agent a target ends and another one starts. A balancer that the second status
+        // has not reached must still find the flows that have opened there since.
+        let mut balancer = balancer();
+        let ended = TargetStatus { sequence: 2, phase: TargetPhase::Ended, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(ended, 0, 1);
+        let chains = chains(balancer.decide(&segment_of(ONCE, 1), 2));
+        let chain = chains.iter().find(|chain| chain.contains(&agent(22))).expect("a chain through the agent");
+        assert_eq!(chain.last(), Some(&agent(22)), "it comes last, as it rarely holds a flow: {chain:?}");
+    };
+    an_agent_that_stopped_after_its_target_ended_delays_no_reset: {
+        let mut balancer = balancer();
+        let ended = TargetStatus { sequence: 2, phase: TargetPhase::Ended, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(TargetStatus { is_stopping: true, ..ended }, 0, 1);
+        let decision = return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 2);
+        assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
+    };
+    an_agent_that_introduces_itself_during_a_search_is_asked_before_a_reset: {
+        // The notification waits in the queue of the control socket while a segment of the flow that has
+        // opened at that agent comes through the queue of the data socket.
+        let mut balancer = balancer();
+        let segment = segment_of(ONCE, 1);
+        let searches = searches(&balancer.decide(&segment, 1));
+        balancer.targets.apply_status(status_of(23, "b", "vypocet"), 0, 2);
+        let mut returned = searches.into_iter().map(|(agent, search_id)| {
+            balancer.handle_returned_segment(&segment, agent, search_id, false, 3)
+        });
+        assert_eq!(returned.next(), Some(ForwardingDecision::Drop(DropReason::Searching)));
+        let chains = chains(returned.next().expect("there are two chains"));
+        assert!(chains.iter().any(|chain| chain.contains(&agent(23))), "{chains:?}");
+    };
+    agents_that_become_available_during_a_search_are_asked_before_a_reset: {
+        // Only some of the unavailable agents get a copy of the segment.
+        let mut balancer = balancer();
+        let starting: Vec<u8> = (31..51).collect();
+        for octet in &starting {
+            balancer.targets.add_agent(agent(*octet), address(*octet, 7720), "b", 0);
+        }
+        let segment = segment_of(ONCE, 1);
+        let searches = searches(&balancer.decide(&segment, 1));
+        for octet in &starting {
+            balancer.targets.apply_status(status_of(*octet, "b", "vypocet"), 0, 2);
+        }
+        let tracked = searches.into_iter().filter(|(_, search_id)| *search_id != u32::MAX);
+        let decision = tracked
+            .map(|(agent, search_id)| balancer.handle_returned_segment(&segment, agent, search_id, false, 3))
+            .last()
+            .expect("there are chains");
+        let asked = chains(decision).concat();
+        assert!(starting.iter().all(|octet| asked.contains(&agent(*octet))), "{asked:?}");
+    };
     a_balancer_that_may_not_know_all_agents_resets_nothing: {
         let mut balancer = balancer();
         balancer.knows_all_agents = false;
