--- a/src/process/configuration.rs
+++ b/src/process/configuration.rs
@@ -65,12 +65,14 @@
 pub fn parse_record(value: &StoreValue) -> Option<Record> {
     if let Some(name) = value.key.strip_prefix(SERVICE_PREFIX) {
         let stored: StoredService = serde_json::from_slice(&value.value).ok()?;
-        return (stored.spec.name == name).then(|| service_record(&stored, value.revision));
+        return (stored.spec.name == name)
+            .then(|| service_record(&stored, value.position.revision));
     }
     let name = value.key.strip_prefix(ZONE_PREFIX)?;
     let stored: StoredZone = serde_json::from_slice(&value.value).ok()?;
     let name = name.to_owned();
-    Some(Record::Zone(ZoneRecord { revision: value.revision, name, out: stored.out }))
+    let revision = value.position.revision;
+    Some(Record::Zone(ZoneRecord { revision, name, out: stored.out }))
 }
 
 fn service_record(stored: &StoredService, revision: u64) -> Record {
--- a/src/process/etcd.rs
+++ b/src/process/etcd.rs
@@ -23,6 +23,8 @@
 use crate::process::store::StoreValue;
 use crate::process::store::TransactionOutcome;
 use crate::process::store::Watch;
+use crate::process::store_eras::StoreEras;
+use crate::version::store_position::StorePosition;
 
 /// Time-out of a call, from connecting to the end of the response.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -33,10 +35,12 @@
 /// Largest message of a watch, in bytes (4 MiB).
 const MAX_WATCH_MESSAGE_BYTES: usize = 4 << 20;
 
-/// Client of one etcd cluster with several endpoints.
+/// Client of one etcd cluster with several endpoints. etcd reports no era; `docs/DESIGN.md` says how an
+/// operator restores it so that revisions do not go back.
 pub struct EtcdStore {
     client: Client,
     endpoints: Vec<String>,
+    eras: StoreEras,
 }
 
 impl EtcdStore {
@@ -47,7 +51,8 @@
             .build()
             .expect("a client with only a connection time-out is valid");
         let trim = |endpoint: &String| endpoint.trim_end_matches('/').to_owned();
-        EtcdStore { client, endpoints: endpoints.iter().map(trim).collect() }
+        let endpoints = endpoints.iter().map(trim).collect();
+        EtcdStore { client, endpoints, eras: StoreEras::new() }
     }
 
     /// Calls the endpoints in turn until one can be reached. Once a call was sent, no other endpoint is tried,
@@ -94,7 +99,7 @@
         if !response["succeeded"].as_bool().unwrap_or(false) {
             return Ok(TransactionOutcome::Conflict);
         }
-        Ok(TransactionOutcome::Done(parse_number(&response["header"]["revision"])?))
+        Ok(TransactionOutcome::Done(parse_position(&response["header"]["revision"])?))
     }
 
     async fn open_watch(&self, prefix: &str, from: u64) -> Result<Box<dyn Watch>, StoreError> {
@@ -124,6 +129,10 @@
 }
 
 impl Store for EtcdStore {
+    fn eras(&self) -> &StoreEras {
+        &self.eras
+    }
+
     fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<StoreSnapshot, StoreError>> {
         Box::pin(async move {
             let body = json!({
@@ -133,7 +142,8 @@
             let response = self.call("/v3/kv/range", &body).await?;
             let kvs = response["kvs"].as_array().map_or(&[][..], Vec::as_slice);
             let values = kvs.iter().map(parse_key_value).collect::<Result<_, _>>()?;
-            Ok(StoreSnapshot { revision: parse_number(&response["header"]["revision"])?, values })
+            let position = parse_position(&response["header"]["revision"])?;
+            Ok(StoreSnapshot { position, values })
         })
     }
 
@@ -159,10 +169,10 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        from_revision: u64,
+        after: StorePosition,
         _longest_wait: Duration,
     ) -> BoxFuture<'a, Result<Box<dyn Watch>, StoreError>> {
-        Box::pin(self.open_watch(prefix, from_revision))
+        Box::pin(self.open_watch(prefix, after.revision + 1))
     }
 
     fn grant_lease(&self, ttl_s: u32) -> BoxFuture<'_, Result<i64, StoreError>> {
@@ -257,7 +267,7 @@
         "key": STANDARD.encode(&condition.key),
         "target": "MOD",
         "result": "EQUAL",
-        "mod_revision": condition.revision.to_string(),
+        "mod_revision": condition.position.revision.to_string(),
     })
 }
 
@@ -272,7 +282,7 @@
 fn parse_event(event: &Value) -> Result<StoreChange, StoreError> {
     let value = parse_key_value(&event["kv"])?;
     if event["type"].as_str() == Some("DELETE") {
-        return Ok(StoreChange::Removed { key: value.key, revision: value.revision });
+        return Ok(StoreChange::Removed { key: value.key, position: value.position });
     }
     Ok(StoreChange::Written(value))
 }
@@ -281,7 +291,7 @@
     let key = decode_base64(&kv["key"])?;
     let key = String::from_utf8(key).map_err(|_| malformed_response("key"))?;
     let value = if kv["value"].is_null() { Vec::new() } else { decode_base64(&kv["value"])? };
-    Ok(StoreValue { key, value, revision: parse_number(&kv["mod_revision"])? })
+    Ok(StoreValue { key, value, position: parse_position(&kv["mod_revision"])? })
 }
 
 fn decode_base64(value: &Value) -> Result<Vec<u8>, StoreError> {
@@ -289,6 +299,10 @@
     STANDARD.decode(text).map_err(|_| malformed_response("base64 text"))
 }
 
+fn parse_position(revision: &Value) -> Result<StorePosition, StoreError> {
+    Ok(StorePosition::new(0, parse_number(revision)?))
+}
+
 fn parse_number(value: &Value) -> Result<u64, StoreError> {
     let text = value.as_str().ok_or_else(|| malformed_response("number"))?;
     text.parse().map_err(|_| malformed_response("number"))
--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -79,6 +79,16 @@
     ConfigurationFetched = 206, Info, "configuration fetched from a balancer";
     /// The entry of a node that is gone was removed from the store.
     EntryRemoved = 207, Info, "stale node entry removed from the store";
+    /// The store has returned from an older copy: it reports a later era than before.
+    StoreEraChanged = 208, Warn, "store returned from an older copy";
+    /// An answer of the store reports no era, or one that cannot be; it counts as the era known last.
+    StoreEraInvalid = 209, Warn, "era of the store missing or invalid, the last one counts";
+    /// Zones that were out before the store returned from an older copy stay out for the moment.
+    ZonesHeld = 210, Info, "zones stay out though the store may have lost their marks";
+    /// Only the marks in the store say which zones are out.
+    ZonesReleased = 211, Info, "zones follow the store again";
+    /// Entries of running nodes were missing in the store and were written again.
+    EntriesRestored = 212, Info, "missing node entries written to the store";
     /// Targets were declared lost.
     TargetLost = 300, Warn, "target declared lost";
     /// Balancers were declared lost.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -35,6 +35,7 @@
 pub mod signals;
 pub mod status;
 pub mod store;
+pub mod store_eras;
 pub mod store_reader;
 pub mod tls;
 pub mod trace;
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -80,9 +80,6 @@
     pub(super) seeds: Seeds,
     pub(super) platform: Platform,
     clock: BootTimeClock,
-    /// Incarnation of this process, taken from the clock. Raised above that of an earlier process if the clock
-    /// was ahead then.
-    incarnation: AtomicU64,
     /// Sequence number of the next status message.
     sequence: AtomicU64,
     state: Mutex<AgentState>,
@@ -91,6 +88,8 @@
     is_stopping: AtomicBool,
     /// Wakes the task that sends the status to all balancers.
     pub(super) status_changed: Notify,
+    /// Wakes the task that introduces the agent to the balancers.
+    pub(super) introduction_due: Notify,
     pub(super) metrics: PassthroughMetrics,
     pub(super) data_socket: UdpSocket,
     pub(super) control_socket: UdpSocket,
@@ -107,13 +106,17 @@
     // After `address_reuse_ms` the target's address may belong to another service; a tenth is the margin.
     let target_timeout_ms = settings.address_reuse_ms - settings.address_reuse_ms / 10;
     let shared = Arc::new(Shared {
-        incarnation: AtomicU64::new(generate_incarnation()),
         sequence: AtomicU64::new(0),
-        state: Mutex::new(AgentState::new(target_timeout_ms, clock.now_ms())),
+        state: Mutex::new(AgentState::new(
+            generate_incarnation(),
+            target_timeout_ms,
+            clock.now_ms(),
+        )),
         clock,
         balancers: Mutex::default(),
         is_stopping: AtomicBool::new(false),
         status_changed: Notify::new(),
+        introduction_due: Notify::new(),
         metrics: PassthroughMetrics::new(),
         data_socket: bind(settings.node.data_address).await?,
         control_socket: bind(settings.node.control_address).await?,
@@ -191,15 +194,16 @@
         format!("{TARGETS_PREFIX}{}", self.settings.node.data_address)
     }
 
-    fn status(&self) -> NodeMessage {
+    /// The status for these balancers.
+    fn status(&self, balancers: &[SocketAddrV4]) -> NodeMessage {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        let phase = state.phase(now_ms);
+        let phase = state.phase_to_report(balancers, now_ms);
         let report = state.gate.current_report();
         NodeMessage::Status(TargetStatus {
             data: self.settings.node.data_address,
             control: self.settings.node.control_address,
-            incarnation: self.incarnation.load(Ordering::Relaxed),
+            incarnation: state.introduction.incarnation(),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             zone: self.settings.node.availability_zone.clone(),
             service: report.map_or_else(String::new, |report| report.service.clone()),
@@ -217,7 +221,8 @@
     }
 
     pub(super) async fn send_status(&self, balancers: &[SocketAddrV4]) {
-        send_to_all(&self.control_socket, &self.status().encode(), balancers).await;
+        let status = self.status(balancers);
+        send_to_all(&self.control_socket, &status.encode(), balancers).await;
     }
 }
 
@@ -262,6 +267,7 @@
         if outcome != ReportOutcome::Same {
             log_event!(Event::TargetAnnounced, "{details} outcome={outcome:?}");
             self.status_changed.notify_one();
+            self.introduction_due.notify_one();
         }
         outcome
     }
@@ -297,13 +303,13 @@
         };
         let now_ms = shared.now_ms();
         shared.balancers().insert(probe.balancer, now_ms);
-        let own_incarnation = shared.incarnation.load(Ordering::Relaxed);
-        if probe.known_incarnation > own_incarnation {
-            shared.incarnation.store(probe.known_incarnation + 1, Ordering::Relaxed);
-            shared.status_changed.notify_one();
-        }
         let has_new_phase = {
             let mut state = shared.state();
+            // An earlier process had a clock that was ahead.
+            if probe.known_incarnation > state.introduction.incarnation() {
+                state.introduction.raise_incarnation(probe.known_incarnation + 1);
+                shared.status_changed.notify_one();
+            }
             let old_phase = state.phase(now_ms);
             state.apply_probe(&probe, now_ms);
             state.phase(now_ms) != old_phase
@@ -346,6 +352,7 @@
             log_event!(Event::TargetChanged, "phase={new_phase:?} before={phase:?}");
             phase = new_phase;
             shared.send_status_to_all().await;
+            shared.introduction_due.notify_one();
         }
         let is_probe_overdue = {
             let mut balancers = shared.balancers();
--- a/src/process/passthrough/agent_introduction.rs
+++ b/src/process/passthrough/agent_introduction.rs
@@ -22,7 +22,8 @@
 /// in which they have to answer.
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Writes the agent's entry to the store, then introduces the agent to the balancers registered there.
+/// Writes the agent's entry to the store, reads the balancers registered there, and introduces the agent
+/// whenever that is due, until the process ends.
 pub(super) async fn register(shared: Arc<Shared>) {
     let node = &shared.settings.node;
     let entry = NodeEntry {
@@ -33,14 +34,18 @@
     let (store, key) = (&shared.platform.store, shared.store_key());
     registration::register(store, &key, &entry, &shared.metrics).await;
     let record_failure = |error: &StoreError| shared.metrics.note_store_failure("balancers", error);
-    let balancers =
-        retry_until_ok(RETRY_BACKOFF_MS, || registered_balancers(&shared), record_failure).await;
+    let read = || registered_balancers(&shared);
+    let balancers = retry_until_ok(RETRY_BACKOFF_MS, read, record_failure).await;
     let now_ms = shared.now_ms();
     shared.state().introduction.note_registered_balancers(balancers, now_ms);
-    introduce(&shared).await;
+    loop {
+        introduce(&shared).await;
+        shared.introduction_due.notified().await;
+    }
 }
 
-/// Sends the status to the balancers that have not probed this agent, until it may accept openings.
+/// Sends the status to the balancers that do not know this incarnation of the agent, until it may accept
+/// openings.
 async fn introduce(shared: &Shared) {
     loop {
         let now_ms = shared.now_ms();
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -20,6 +20,7 @@
 use crate::process::passthrough::message::Probe;
 use crate::process::passthrough::segment_header::SegmentHeader;
 use crate::version::introduction::Introduction;
+use crate::version::store_position::StorePosition;
 
 /// Segments sent to the target whose headers are stored in case the target bounces them; a power of two. At
 /// 1,000 segments per second, each bounced within milliseconds, only a few are pending.
@@ -92,29 +93,40 @@
     next_cookie: u32,
     /// By flow, the balancer to notify when the target sends the next segment of it.
     balancers_to_notify: IndexMap<FlowKey, SocketAddrV4>,
-    configuration_revision: u64,
+    configuration_position: StorePosition,
     idle_timeout_ms: u64,
     /// Start of this process, or the end of its last stall.
     running_since_ms: u64,
 }
 
 impl AgentState {
-    /// Creates the state of an agent that has no report yet. See [`TargetGate::new`] for `target_timeout_ms`.
-    pub fn new(target_timeout_ms: u64, now_ms: u64) -> AgentState {
+    /// Creates the state of an agent of this incarnation that has no report yet. See [`TargetGate::new`] for
+    /// `target_timeout_ms`.
+    pub fn new(incarnation: u64, target_timeout_ms: u64, now_ms: u64) -> AgentState {
         AgentState {
             gate: TargetGate::new(target_timeout_ms),
             flows: TrackedFlows::new(),
             health: TargetHealth::new(),
-            introduction: Introduction::new(),
+            introduction: Introduction::new(incarnation),
             pending_segments: vec![None; MAX_PENDING_SEGMENTS as usize],
             next_cookie: 1,
             balancers_to_notify: IndexMap::new(),
-            configuration_revision: 0,
+            configuration_position: StorePosition::default(),
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             running_since_ms: now_ms,
         }
     }
 
+    /// Phase for a status to these balancers. A status after the end of a target has a new incarnation.
+    pub fn phase_to_report(&mut self, balancers: &[SocketAddrV4], now_ms: u64) -> TargetPhase {
+        if self.is_target_lost(now_ms) {
+            self.introduction.note_told_of_end(balancers);
+        } else {
+            self.introduction.restart_after_end(now_ms);
+        }
+        self.phase(now_ms)
+    }
+
     /// Phase of the target that is reported to balancers.
     pub fn phase(&mut self, now_ms: u64) -> TargetPhase {
         if self.is_target_lost(now_ms) {
@@ -131,13 +143,12 @@
     /// Notes that a balancer knows this agent, and applies the configuration in its probe unless there is
     /// none or it is older than the one in force. Returns whether it was applied.
     pub fn apply_probe(&mut self, probe: &Probe, now_ms: u64) -> bool {
-        self.introduction.note_probe_from(probe.balancer, now_ms);
-        if probe.configuration_revision == 0
-            || probe.configuration_revision < self.configuration_revision
-        {
+        self.introduction.note_probe_from(probe.balancer, probe.known_incarnation, now_ms);
+        let position = probe.configuration.or_in_era(self.configuration_position.era);
+        if position.revision == 0 || position < self.configuration_position {
             return false;
         }
-        self.configuration_revision = probe.configuration_revision;
+        self.configuration_position = position;
         self.gate.set_zone_out(probe.is_zone_out, now_ms);
         if !probe.service.is_empty() {
             self.gate.set_limits(&probe.service, probe.limits);
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -10,7 +10,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
@@ -29,6 +28,7 @@
 use crate::process::events::Event;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
+use crate::process::passthrough::balancer_configuration::StoredItems;
 use crate::process::passthrough::balancer_forwarding;
 use crate::process::passthrough::balancer_peers;
 use crate::process::passthrough::balancer_peers::PendingChanges;
@@ -51,6 +51,7 @@
 use crate::process::signals;
 use crate::version::balancer_table::BalancerTable;
 use crate::version::balancer_table::FULL_STATE_REQUEST_INTERVAL_MS;
+use crate::version::balancer_table::InForce;
 use crate::version::target_status::TargetStatus;
 use crate::version::target_table::AgentAddresses;
 
@@ -93,8 +94,7 @@
     pub(super) platform: Platform,
     pub(super) clock: BootTimeClock,
     pub(super) state: Mutex<BalancerState>,
-    /// Value and revision of each item that operators stored, by key, as other balancers fetch them.
-    pub(super) operator_items: Mutex<IndexMap<String, (Vec<u8>, u64)>>,
+    pub(super) stored_items: Mutex<StoredItems>,
     pub(super) peers: Mutex<BalancerTable>,
     pub(super) is_stopping: AtomicBool,
     pub(super) changes: Mutex<PendingChanges>,
@@ -104,7 +104,7 @@
     pub(super) probe_notify: Notify,
     /// Wakes the task that retries queued segments.
     pub(super) release_notify: Notify,
-    /// Time of the start, or of the end of the last stall.
+    /// Time of the start, of the end of the last stall or of the store's return from an older copy.
     running_since_ms: AtomicU64,
     pub(super) has_read_nodes: AtomicBool,
     /// Makes the store task read the nodes again.
@@ -130,7 +130,7 @@
         running_since_ms: AtomicU64::new(clock.now_ms()),
         clock,
         state: Mutex::new(state),
-        operator_items: Mutex::default(),
+        stored_items: Mutex::default(),
         peers: Mutex::new(peers),
         is_stopping: AtomicBool::new(false),
         changes: Mutex::default(),
@@ -170,7 +170,8 @@
     tokio::spawn(run_timers(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_nodes(Arc::clone(&shared)));
-    tokio::spawn(balancer_store::remove_stale_entries_periodically(Arc::clone(&shared)));
+    tokio::spawn(balancer_store::restore_entries_in_each_era(Arc::clone(&shared)));
+    tokio::spawn(balancer_store::clean_entries_periodically(Arc::clone(&shared)));
     tokio::spawn(balancer_store::catch_up_with_peers(Arc::clone(&shared)));
     let reloading = Arc::clone(&shared);
     tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
@@ -200,6 +201,15 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What is in force at this balancer.
+    pub(super) fn in_force(&self) -> InForce {
+        let routing = &self.state().routing;
+        InForce {
+            change: routing.newest_change(),
+            configuration_version: routing.configuration_version(),
+        }
+    }
+
     pub(super) fn changes(&self) -> MutexGuard<'_, PendingChanges> {
         self.changes.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -211,7 +221,7 @@
         let limits = configuration.and_then(|configuration| configuration.services.get(service));
         Probe {
             balancer: self.settings.node.control_address,
-            configuration_revision: state.routing.revision(),
+            configuration: state.routing.position().into(),
             is_zone_out: state.routing.is_zone_out(agent.zone),
             service: service.to_owned(),
             limits: TargetLimits {
@@ -235,6 +245,14 @@
         self.reread_nodes_notify.notify_one();
     }
 
+    /// Marks the agents as unknown until the nodes are read again: in the new era of the store, an agent
+    /// that starts may not find this balancer there.
+    pub(super) fn note_era_change(&self) {
+        self.running_since_ms.store(self.now_ms(), Ordering::Relaxed);
+        self.has_read_nodes.store(false, Ordering::Relaxed);
+        self.update_knows_all_agents();
+    }
+
     /// Whether this process started, or resumed after a stall, less than [`DISCOVERY_TIMEOUT_MS`] ago.
     pub(super) fn is_recently_started(&self, now_ms: u64) -> bool {
         now_ms - self.running_since_ms.load(Ordering::Relaxed) < DISCOVERY_TIMEOUT_MS
@@ -401,6 +419,7 @@
         if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS {
             last_sweep_ms = now_ms;
             expire_idle_state(&shared, now_ms);
+            shared.release_held_zones(now_ms);
         }
     }
 }
--- a/src/process/passthrough/balancer_configuration.rs
+++ b/src/process/passthrough/balancer_configuration.rs
@@ -4,7 +4,6 @@
 use std::sync::PoisonError;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::log_event;
 use crate::process::events::Event;
@@ -18,47 +17,103 @@
 use crate::version::routing::ApplyOutcome;
 use crate::version::routing::Configuration;
 use crate::version::routing::OperatorItem;
+use crate::version::store_position::StorePosition;
 use crate::version::target_status::TargetStatus;
 use crate::version::target_table::Liveness;
 use crate::wire::ConfigurationItem;
 use crate::wire::ConfigurationSnapshot;
 
+/// Items that operators stored, as other balancers fetch them.
+#[derive(Debug, Default)]
+pub(super) struct StoredItems {
+    /// Value and position of each item, by key.
+    items: IndexMap<String, (Vec<u8>, StorePosition)>,
+    /// Key of the item with the configuration in force. It stays when the store returns from an older copy
+    /// without it.
+    configuration_key: Option<String>,
+}
+
+impl StoredItems {
+    /// Replaces all items but that of the configuration in force.
+    fn replace(&mut self, items: IndexMap<String, (Vec<u8>, StorePosition)>) {
+        let before = std::mem::replace(&mut self.items, items);
+        if let Some(key) = &self.configuration_key
+            && let Some(item) = before.get(key)
+        {
+            self.items.insert(key.clone(), item.clone());
+        }
+    }
+
+    fn insert(&mut self, key: &str, value: &[u8], position: StorePosition) {
+        self.items.insert(key.to_owned(), (value.to_vec(), position));
+    }
+}
+
 impl Shared {
-    fn operator_items(&self) -> MutexGuard<'_, IndexMap<String, (Vec<u8>, u64)>> {
-        self.operator_items.lock().unwrap_or_else(PoisonError::into_inner)
+    fn stored_items(&self) -> MutexGuard<'_, StoredItems> {
+        self.stored_items.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Replaces all operator items by a snapshot of the store as of `revision`.
-    pub(super) fn apply_snapshot(&self, items: Vec<(String, Vec<u8>, u64)>, revision: u64) {
+    /// Replaces all operator items by a snapshot of the store as of `position`. Of a snapshot that is older
+    /// than what is in force, only a newer configuration is applied.
+    pub(super) fn apply_snapshot(
+        &self,
+        snapshot: Vec<(String, Vec<u8>, StorePosition)>,
+        position: StorePosition,
+    ) {
         let decoder = &self.platform.operator_items;
-        let mut zones_out = IndexSet::new();
-        let mut stored_items = IndexMap::new();
-        for (key, value, item_revision) in items {
+        let mut marks = IndexMap::new();
+        let mut items = IndexMap::new();
+        let revisions = snapshot.iter().map(|(.., item_position)| item_position);
+        let in_era = revisions.filter(|item_position| item_position.era == position.era);
+        let newest_change = in_era.map(|item_position| item_position.revision).max().unwrap_or(0);
+        for (key, value, item_position) in snapshot {
             match decoder.decode(&key, &value) {
                 Ok(OperatorItem::ZoneOut(zone)) => {
-                    zones_out.insert(zone);
+                    marks.insert(zone, item_position.revision);
                 }
                 Ok(OperatorItem::Configuration(configuration)) => {
-                    self.apply_configuration(configuration, item_revision);
+                    self.apply_configuration(configuration, &key, &value, item_position);
+                    continue;
                 }
                 Err(message) => log_event!(Event::StoreValueInvalid, "key={key} {message}"),
             }
-            stored_items.insert(key, (value, item_revision));
+            items.insert(key, (value, item_position));
         }
-        let newest = stored_items.values().map(|(_, revision)| *revision).max().unwrap_or(0);
-        let outcome = self.state().routing.apply_zones_out(zones_out, newest, revision);
+        let era_before = self.state().routing.position().era;
+        if position < self.state().routing.position() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let outcome = self.state().routing.apply_zones_out(marks, newest_change, position, now_ms);
         if outcome == ApplyOutcome::Changed {
             self.log_zones_out();
         }
-        *self.operator_items() = stored_items;
+        if position.era != era_before {
+            self.log_held_zones();
+        }
+        self.stored_items().replace(items);
     }
 
-    /// Applies a configuration if it is newer than the current one.
-    fn apply_configuration(&self, configuration: Configuration, revision: u64) {
+    /// Applies a configuration, stored as `value`, if it is newer than the current one.
+    fn apply_configuration(
+        &self,
+        configuration: Configuration,
+        key: &str,
+        value: &[u8],
+        position: StorePosition,
+    ) {
         let (version, routes) = (configuration.version, configuration.routes.len());
-        let outcome = self.state().routing.apply_configuration(configuration, revision);
+        let outcome = self.state().routing.apply_configuration(configuration, position);
         if outcome == ApplyOutcome::Changed {
-            let details = format!("revision={revision} version={version} routes={routes}");
+            {
+                let mut stored_items = self.stored_items();
+                stored_items.insert(key, value, position);
+                stored_items.configuration_key = Some(key.to_owned());
+            }
+            let StorePosition { era, revision } = position;
+            let details =
+                format!("era={era} revision={revision} version={version} routes={routes}");
             log_event!(Event::ConfigurationChanged, "{details}");
             self.release_notify.notify_one();
         }
@@ -67,53 +122,73 @@
     fn log_zones_out(&self) {
         let state = self.state();
         let zones: Vec<&str> = state.routing.zones_out().collect();
-        log_event!(Event::ZoneChanged, "out={zones:?} revision={}", state.routing.revision());
+        let StorePosition { era, revision } = state.routing.position();
+        log_event!(Event::ZoneChanged, "out={zones:?} era={era} revision={revision}");
+    }
+
+    fn log_held_zones(&self) {
+        let state = self.state();
+        let held: Vec<&str> = state.routing.held_zones().collect();
+        if !held.is_empty() {
+            let era = state.routing.position().era;
+            log_event!(Event::ZonesHeld, "out={held:?} era={era}");
+        }
+    }
+
+    /// Ends the hold of zones that keep their state from before the store's return, once it is over.
+    pub(super) fn release_held_zones(&self, now_ms: u64) {
+        let outcome = self.state().routing.release_held_zones(now_ms);
+        if outcome == ApplyOutcome::Changed {
+            log_event!(Event::ZonesReleased);
+            self.log_zones_out();
+        }
     }
 
     /// Applies one change of the operator items in the store.
     pub(super) fn apply_change(&self, change: &StoreChange) {
         match change {
             StoreChange::Written(value) => self.apply_written_item(value),
-            StoreChange::Removed { key, revision } => {
-                self.operator_items().shift_remove(key);
+            StoreChange::Removed { key, position } => {
                 if let Some(zone) = self.platform.operator_items.zone_of(key) {
-                    let outcome = self.state().routing.apply_zone(zone, false, *revision);
-                    if outcome == ApplyOutcome::Changed {
-                        self.log_zones_out();
-                    }
+                    self.stored_items().items.shift_remove(key);
+                    self.apply_zone(zone, false, *position);
                 }
             }
         }
     }
 
     fn apply_written_item(&self, value: &StoreValue) {
-        match self.platform.operator_items.decode(&value.key, &value.value) {
+        let StoreValue { key, value, position } = value;
+        match self.platform.operator_items.decode(key, value) {
             Ok(OperatorItem::Configuration(configuration)) => {
-                self.apply_configuration(configuration, value.revision);
-            }
-            Ok(OperatorItem::ZoneOut(zone)) => {
-                let outcome = self.state().routing.apply_zone(&zone, true, value.revision);
-                if outcome == ApplyOutcome::Changed {
-                    self.log_zones_out();
-                }
-            }
-            Err(message) => {
-                log_event!(Event::StoreValueInvalid, "key={} {message}", value.key);
+                return self.apply_configuration(configuration, key, value, *position);
             }
+            Ok(OperatorItem::ZoneOut(zone)) => self.apply_zone(&zone, true, *position),
+            Err(message) => log_event!(Event::StoreValueInvalid, "key={key} {message}"),
+        }
+        self.stored_items().insert(key, value, *position);
+    }
+
+    fn apply_zone(&self, zone: &str, is_out: bool, position: StorePosition) {
+        let outcome = self.state().routing.apply_zone(zone, is_out, position);
+        if outcome == ApplyOutcome::Changed {
+            self.log_zones_out();
         }
-        self.operator_items().insert(value.key.clone(), (value.value.clone(), value.revision));
     }
 }
 
 impl ExchangeSource for Shared {
     fn snapshot(&self) -> ConfigurationSnapshot {
-        let revision = self.state().routing.revision();
-        let item = |(key, (value, revision)): (&String, &(Vec<u8>, u64))| ConfigurationItem {
-            key: key.clone(),
-            value: value.clone(),
-            revision: *revision,
-        };
-        ConfigurationSnapshot { revision, items: self.operator_items().iter().map(item).collect() }
+        let StorePosition { era, revision } = self.state().routing.position();
+        let item =
+            |(key, (value, position)): (&String, &(Vec<u8>, StorePosition))| ConfigurationItem {
+                key: key.clone(),
+                value: value.clone(),
+                revision: position.revision,
+                era: (position.era != era).then_some(position.era),
+            };
+        let items = self.stored_items().items.iter().map(item).collect();
+        ConfigurationSnapshot { revision, era: Some(era), items }
     }
 
     fn view(&self) -> BalancerView {
@@ -125,7 +200,9 @@
             node: self.settings.node.node.clone(),
             availability_zone: self.settings.node.availability_zone.clone(),
             is_ready,
-            newest_change: state.routing.newest_change(),
+            store_era: state.routing.position().era,
+            newest_change: state.routing.newest_change().revision,
+            held_zones: state.routing.held_zones().map(str::to_owned).collect(),
             balancers,
             agents: state
                 .targets
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -18,6 +18,7 @@
 use crate::process::passthrough::message;
 use crate::process::passthrough::message::NodeMessage;
 use crate::version::balancer_table::BalancerUpdate;
+use crate::version::balancer_table::InForce;
 use crate::version::balancer_table::UpdateOutcome;
 use crate::version::target_status::TargetLoadReport;
 use crate::version::target_status::TargetUpdate;
@@ -199,11 +200,13 @@
             let mut peers = self.peers();
             (peers.next_stamp(unix_time_ms()), peers.zone_updates(now_ms))
         };
+        let InForce { change: newest_change, configuration_version } = self.in_force();
         let message = NodeMessage::Balancer(message::BalancerGossip {
             control: self.settings.node.control_address,
             exchange: self.settings.exchange_address,
             zone: self.settings.node.availability_zone.clone(),
-            newest_change_revision: self.state().routing.newest_change(),
+            newest_change: newest_change.into(),
+            configuration_version,
             stamp,
             zones,
             balancers: payload.balancers,
@@ -258,12 +261,18 @@
             stamp: message.stamp,
             is_down: message.is_stopping,
         };
+        let own_position = self.state().routing.position();
+        let in_force = InForce {
+            change: message.newest_change.or_in_era(own_position.era),
+            configuration_version: message.configuration_version,
+        };
+        self.platform.store.eras().note_heard(in_force.change.era);
         let mut peers = self.peers();
         let mut newer_here: Vec<BalancerUpdate> = Vec::new();
         if peers.has_newer_stamp(&sender) {
             newer_here.extend(peers.update_of(sender.control));
         }
-        if peers.apply_direct_update(&sender, message.newest_change_revision, now_ms) {
+        if peers.apply_direct_update(&sender, in_force, now_ms) {
             self.queue_balancer_update(sender.control);
         }
         if let Some(will_send_next) = message.will_send_next {
--- a/src/process/passthrough/exchange.rs
+++ b/src/process/passthrough/exchange.rs
@@ -41,8 +41,14 @@
     pub availability_zone: String,
     /// Whether the balancer is ready for traffic.
     pub is_ready: bool,
+    /// Era of the store in which that revision was given out; 0 if the store reports none.
+    #[serde(default)]
+    pub store_era: u64,
     /// Revision of the newest configuration change that is in force at the balancer.
     pub newest_change: u64,
+    /// Availability zones that are out since before the store returned from an older copy.
+    #[serde(default)]
+    pub held_zones: Vec<String>,
     /// Exchange addresses of the other live balancers.
     pub balancers: Vec<SocketAddrV4>,
     /// Agents that the balancer knows.
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::log_event;
@@ -13,6 +14,7 @@
 use crate::process::store::StoreChange;
 use crate::process::store::StoreError;
 use crate::process::store::StoreSnapshot;
+use crate::process::store_eras::StoreEras;
 
 /// Shortest and longest backoff after a failure, in milliseconds. A store that answers again must be noticed
 /// within two seconds, and the longest backoff leaves one of them.
@@ -47,11 +49,13 @@
     handler: &dyn WatchHandler,
 ) {
     let mut failures = 0;
+    let mut eras = EraChanges::new(store.eras());
     loop {
-        let result = read_and_watch(store.as_ref(), prefix, timing, handler, &mut failures).await;
-        let Err(error) = result;
+        let watching =
+            read_and_watch(store.as_ref(), prefix, timing, handler, &mut eras, &mut failures);
+        let Err(error) = watching.await;
         handler.record_failure(&error);
-        if error == StoreError::Compacted {
+        if matches!(error, StoreError::Compacted | StoreError::EraChanged { .. }) {
             continue;
         }
         failures += 1;
@@ -64,14 +68,20 @@
     prefix: &str,
     timing: WatchTiming,
     handler: &dyn WatchHandler,
+    eras: &mut EraChanges,
     failures: &mut u32,
 ) -> Result<Infallible, StoreError> {
     let snapshot = store.range(prefix).await?;
     handler.handle_snapshot(&snapshot);
     note_recovery(failures, prefix);
-    let mut watch = store.watch(prefix, snapshot.revision + 1, timing.watch_timeout).await?;
+    let era = snapshot.position.era;
+    let mut watched = store.watch(prefix, snapshot.position, timing.watch_timeout).await?;
     loop {
-        match watch.next().await {
+        let next = tokio::select! {
+            next = watched.next() => next,
+            () = eras.wait_for_later_than(era) => Err(StoreError::EraChanged { may_have_run: false }),
+        };
+        match next {
             Ok(changes) => {
                 handler.handle_changes(&changes);
                 note_recovery(failures, prefix);
@@ -86,6 +96,33 @@
     }
 }
 
+/// Signals of a later era: an answer to another call of this process, or a report of another node. A
+/// report makes the follower read the store once, and the answer shows which era it is in.
+struct EraChanges {
+    known: watch::Receiver<u64>,
+    heard: watch::Receiver<u64>,
+}
+
+impl EraChanges {
+    fn new(eras: &StoreEras) -> EraChanges {
+        EraChanges { known: eras.subscribe(), heard: eras.subscribe_heard() }
+    }
+
+    async fn wait_for_later_than(&mut self, era: u64) {
+        while *self.known.borrow() <= era {
+            // The senders live as long as the store, so that no wait fails.
+            tokio::select! {
+                _ = self.known.changed() => {}
+                _ = self.heard.changed() => {
+                    if *self.heard.borrow() > era {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
 /// Logs that the store answers after failures, and resets their count.
 fn note_recovery(failures: &mut u32, prefix: &str) {
     if *failures > 0 {
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -11,6 +11,7 @@
 use crate::connection::target_gate::TargetPhase;
 use crate::version::balancer_table::BalancerUpdate;
 use crate::version::balancer_table::ZoneUpdate;
+use crate::version::store_position::ReportedPosition;
 use crate::version::target_status::TargetLoadReport;
 use crate::version::target_status::TargetStatus;
 use crate::version::target_status::TargetUpdate;
@@ -22,8 +23,9 @@
 pub struct Probe {
     /// Control address of the balancer.
     pub balancer: SocketAddrV4,
-    /// Revision of the configuration that the following fields are taken from; 0 if the balancer has none.
-    pub configuration_revision: u64,
+    /// Position of the configuration that the following fields are taken from; revision 0 if the balancer
+    /// has none.
+    pub configuration: ReportedPosition,
     /// Whether the agent's availability zone is taken out of service.
     pub is_zone_out: bool,
     /// Service that the limits apply to; empty if the balancer does not know the target's service.
@@ -45,8 +47,10 @@
     pub exchange: SocketAddrV4,
     /// Availability zone of the sender.
     pub zone: String,
-    /// Revision of the newest configuration change that is in force at the sender.
-    pub newest_change_revision: u64,
+    /// Position of the newest change that is in force at the sender.
+    pub newest_change: ReportedPosition,
+    /// Version of the configuration in force at the sender; 0 if it has none.
+    pub configuration_version: u64,
     /// Order of the sender's messages: grows with each one, also across restarts.
     pub stamp: u64,
     /// For each zone, when a balancer of it was last seen.
@@ -107,7 +111,8 @@
         let kind = match self {
             NodeMessage::Probe(probe) => Kind::Probe(wire::Probe {
                 balancer: pack_address(probe.balancer),
-                configuration_revision: probe.configuration_revision,
+                configuration_revision: probe.configuration.revision,
+                era: probe.configuration.era,
                 zone_out: probe.is_zone_out,
                 service: probe.service.clone(),
                 cold_openings_per_s: probe.limits.cold_openings_per_s.unwrap_or(0),
@@ -138,7 +143,10 @@
         Some(match wire::NodeMessage::decode(bytes).ok()?.kind? {
             Kind::Probe(probe) => NodeMessage::Probe(Probe {
                 balancer: unpack_address(probe.balancer)?,
-                configuration_revision: probe.configuration_revision,
+                configuration: ReportedPosition {
+                    era: probe.era,
+                    revision: probe.configuration_revision,
+                },
                 is_zone_out: probe.zone_out,
                 service: probe.service,
                 limits: TargetLimits {
@@ -242,7 +250,9 @@
     wire::BalancerState {
         control: pack_address(gossip.control),
         exchange: pack_address(gossip.exchange),
-        newest_change: gossip.newest_change_revision,
+        newest_change: gossip.newest_change.revision,
+        era: gossip.newest_change.era,
+        configuration_version: gossip.configuration_version,
         zone: gossip.zone.clone(),
         stamp: gossip.stamp,
         zones: gossip.zones.iter().map(zone).collect(),
@@ -286,7 +296,8 @@
         control: unpack_address(gossip.control)?,
         exchange: unpack_address(gossip.exchange)?,
         zone: gossip.zone,
-        newest_change_revision: gossip.newest_change,
+        newest_change: ReportedPosition { era: gossip.era, revision: gossip.newest_change },
+        configuration_version: gossip.configuration_version,
         stamp: gossip.stamp,
         zones: gossip.zones.into_iter().map(zone).collect(),
         balancers: gossip.balancers.into_iter().map(balancer).collect::<Option<_>>()?,
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -43,6 +43,8 @@
     pub searches: Counter,
     /// Failed calls of the store, by call.
     pub store_failures: ReasonCounter,
+    /// Entries of nodes that were missing in the store and were written again.
+    pub entries_restored: Counter,
     /// Agents that a segment passed on the path to its target.
     pub hops: Histogram,
     /// Flows whose location a balancer remembers, or that an agent sees at its target.
@@ -66,6 +68,7 @@
             target_checks: Family::default(),
             searches: Counter::default(),
             store_failures: Family::default(),
+            entries_restored: Counter::default(),
             hops: Histogram::new(HOP_BOUNDS),
             flows: Gauge::default(),
             busy_flows: Gauge::default(),
@@ -92,6 +95,11 @@
         );
         registry.register("searches", "Searches for flows", metrics.searches.clone());
         registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
+        registry.register(
+            "entries_restored",
+            "Missing node entries written to the store",
+            metrics.entries_restored.clone(),
+        );
         registry.register("hops", "Agents on a segment's way", metrics.hops.clone());
         registry.register("flows", "Flows remembered or seen", metrics.flows.clone());
         registry.register(
--- a/src/process/passthrough/status.rs
+++ b/src/process/passthrough/status.rs
@@ -19,11 +19,12 @@
 use crate::process::status::query_all;
 use crate::process::store::Store;
 use crate::process::store::StoreSnapshot;
+use crate::version::store_position::StorePosition;
 
 /// Contents of the store; empty if it does not answer.
 #[derive(Default)]
 struct StoreContents {
-    newest_change: Option<u64>,
+    newest_change: Option<StorePosition>,
     zones_out: Vec<String>,
     balancers: Vec<SocketAddrV4>,
     agents: IndexMap<SocketAddrV4, String>,
@@ -60,7 +61,8 @@
     nodes.extend(agent_nodes(&store_contents, views.values()));
     nodes.sort_by(|a, b| (b.role, &a.node).cmp(&(a.role, &b.node)));
     Ok(Status {
-        store_revision: store_contents.newest_change,
+        store_era: store_contents.newest_change.map_or(0, |position| position.era),
+        store_revision: store_contents.newest_change.map(|position| position.revision),
         zones_out: store_contents.zones_out,
         nodes,
         unreachable,
@@ -77,7 +79,12 @@
     };
     let zones = operators.values.iter().filter_map(|value| operator_items.zone_of(&value.key));
     StoreContents {
-        newest_change: operators.values.iter().map(|value| value.revision).max().or(Some(0)),
+        newest_change: operators
+            .values
+            .iter()
+            .map(|value| value.position)
+            .max()
+            .or(Some(StorePosition::new(operators.position.era, 0))),
         zones_out: zones.map(str::to_owned).collect(),
         balancers: entries(&own, BALANCERS_PREFIX).map(|entry| entry.data).collect(),
         agents: entries(&own, TARGETS_PREFIX).map(|entry| (entry.data, entry.zone)).collect(),
@@ -92,15 +99,21 @@
 fn balancer_node(
     address: SocketAddrV4,
     view: &BalancerView,
-    newest_change: Option<u64>,
+    newest_change: Option<StorePosition>,
 ) -> NodeStatus {
+    let readiness = if view.is_ready { "ready" } else { "not ready" };
+    let mut state = format!("{readiness} {}", view.node);
+    if !view.held_zones.is_empty() {
+        state.push_str(&format!(" holds zones {}", view.held_zones.join(", ")));
+    }
+    let in_force = StorePosition::new(view.store_era, view.newest_change);
     NodeStatus {
         role: "balancer",
         node: address.to_string(),
         availability_zone: view.availability_zone.clone(),
-        state: format!("{} {}", if view.is_ready { "ready" } else { "not ready" }, view.node),
+        state,
         revision: Some(view.newest_change),
-        lags: newest_change.is_some_and(|newest| view.newest_change < newest),
+        lags: newest_change.is_some_and(|newest| in_force < newest),
     }
 }
 
--- a/src/process/publish.rs
+++ b/src/process/publish.rs
@@ -28,6 +28,7 @@
 use crate::process::store::StoreSnapshot;
 use crate::process::store::TransactionOutcome;
 use crate::version::hash::zone_fingerprint;
+use crate::version::store_position::StorePosition;
 
 /// Most services that are written in one transaction.
 const MAX_SERVICES_PER_BATCH: usize = 100;
@@ -80,11 +81,11 @@
     }
 }
 
-/// Services in the store and the next free service number, each with the revision of its last change.
+/// Services in the store and the next free service number, each with the position of its last change.
 #[derive(Clone, Debug)]
 pub struct StoredServices {
-    services: IndexMap<String, (StoredService, u64)>,
-    numbers: (StoredNumbers, u64),
+    services: IndexMap<String, (StoredService, StorePosition)>,
+    numbers: (StoredNumbers, StorePosition),
 }
 
 /// Changes that the store has accepted.
@@ -152,19 +153,17 @@
     let key = zone_key(name);
     let zones = store.range(&zone_key("")).await.map_err(store_error)?;
     check_zone_fingerprint_unused(&zones, name)?;
-    let existing = zones.values.iter().find(|value| value.key == key);
     let publish_id = new_publish_id();
     let value = to_json(&StoredZone { publish_id: publish_id.clone(), out });
     let puts = [Put { key: key.clone(), value, lease: None }];
-    let revision = existing.map_or(0, |value| value.revision);
-    let conditions = [Precondition { key: key.clone(), revision }];
+    let conditions = [zones.unchanged(&key)];
     match write_with_retry(store, &conditions, &puts).await? {
-        WriteResult { outcome: TransactionOutcome::Done(revision), .. } => Ok(revision),
+        WriteResult { outcome: TransactionOutcome::Done(position), .. } => Ok(position.revision),
         WriteResult { response_lost, .. } => {
             let current_zone = read_zone(store, &key).await?;
             let stored_id = current_zone.as_ref().map(|(stored, _)| stored.publish_id.as_str());
             match (classify_conflict(stored_id, &publish_id, response_lost), &current_zone) {
-                (ConflictOutcome::Accepted, Some((_, revision))) => Ok(*revision),
+                (ConflictOutcome::Accepted, Some((_, position))) => Ok(position.revision),
                 (outcome, current_zone) => Err(zone_conflict(name, outcome, current_zone.as_ref())),
             }
         }
@@ -215,6 +214,9 @@
             Ok(outcome) => return Ok(WriteResult { outcome, response_lost }),
             Err(StoreError::NoAnswer { .. }) => response_lost = true,
             Err(StoreError::Unreachable { .. }) if response_lost => {}
+            Err(StoreError::EraChanged { may_have_run }) => {
+                return Err(store_restored(may_have_run || response_lost));
+            }
             Err(error) => return Err(store_error(error)),
         }
         tokio::time::sleep(WRITE_RETRY_DELAY).await;
@@ -225,6 +227,21 @@
     Err(Error::OutcomeUnknown { message })
 }
 
+/// Error of a write whose conditions belong to an era before the store returned from an older copy.
+fn store_restored(may_have_run: bool) -> Error {
+    let cause = "the store has returned from an older copy during the command";
+    match may_have_run {
+        true => Error::OutcomeUnknown {
+            message: format!(
+                "{cause}; unknown whether the change was accepted; run the same command again"
+            ),
+        },
+        false => Error::Conflict {
+            message: format!("{cause}; nothing was written; run the same command again"),
+        },
+    }
+}
+
 async fn write_batch(
     store: &dyn Store,
     base: &mut StoredServices,
@@ -235,16 +252,16 @@
         let (conditions, puts) = build_transaction(base, batch, &publish_id)?;
         let written = write_with_retry(store, &conditions, &puts).await?;
         let current = read_services(store).await;
-        if let TransactionOutcome::Done(revision) = written.outcome {
+        if let TransactionOutcome::Done(position) = written.outcome {
             *base = current.unwrap_or_else(|_| base.clone());
-            return Ok(revision);
+            return Ok(position.revision);
         }
         let current = current?;
-        let (stored_id, revision) = existing_publish(&current, batch);
+        let (stored_id, position) = existing_publish(&current, batch);
         let outcome = classify_conflict(stored_id, &publish_id, written.response_lost);
         if outcome == ConflictOutcome::Accepted {
             *base = current;
-            return Ok(revision);
+            return Ok(position.revision);
         }
         check_unchanged_by_others(base, &current, batch, outcome)?;
         *base = current;
@@ -262,7 +279,8 @@
 ) -> Result<(Vec<Precondition>, Vec<Put>)> {
     let mut conditions = Vec::new();
     let mut puts = Vec::new();
-    let (mut numbers, numbers_revision) = base.numbers;
+    let (mut numbers, numbers_position) = base.numbers;
+    let absent = StorePosition::new(numbers_position.era, 0);
     for change in batch {
         let existing = base.services.get(change.name());
         let number = match existing {
@@ -280,14 +298,14 @@
             spec: spec.clone(),
         };
         let key = service_key(change.name());
-        let revision = existing.map_or(0, |(_, revision)| *revision);
-        conditions.push(Precondition { key: key.clone(), revision });
+        let position = existing.map_or(absent, |(_, position)| *position);
+        conditions.push(Precondition { key: key.clone(), position });
         puts.push(Put { key, value: to_json(&stored), lease: None });
     }
     // Every publish writes this key, so two concurrent ones conflict and cannot assign the same number or
     // address.
     let key = NUMBERS_KEY.to_owned();
-    conditions.push(Precondition { key: key.clone(), revision: numbers_revision });
+    conditions.push(Precondition { key: key.clone(), position: numbers_position });
     puts.push(Put { key, value: to_json(&numbers), lease: None });
     Ok((conditions, puts))
 }
@@ -309,13 +327,13 @@
     outcome: ConflictOutcome,
 ) -> Result<()> {
     for change in batch {
-        let before = base.services.get(change.name()).map(|(_, revision)| *revision);
+        let before = base.services.get(change.name()).map(|(_, position)| *position);
         let now = current.services.get(change.name());
-        if before == now.map(|(_, revision)| *revision) {
+        if before == now.map(|(_, position)| *position) {
             continue;
         }
-        let stored = now.map_or("no such service".to_owned(), |(existing, revision)| {
-            describe(existing, *revision)
+        let stored = now.map_or("no such service".to_owned(), |(existing, position)| {
+            describe(existing, position.revision)
         });
         let message = format!(
             "another operator changed {} first; the store now has {stored}; {}",
@@ -337,26 +355,30 @@
     })
 }
 
-/// Publish id and revision that the store has for the first service of a batch. A batch is written in one
+/// Publish id and position that the store has for the first service of a batch. A batch is written in one
 /// transaction, so its services share the publish id.
-fn existing_publish<'a>(current: &'a StoredServices, batch: &[Change]) -> (Option<&'a str>, u64) {
+fn existing_publish<'a>(
+    current: &'a StoredServices,
+    batch: &[Change],
+) -> (Option<&'a str>, StorePosition) {
     let existing = batch.first().and_then(|change| current.services.get(change.name()));
-    existing
-        .map_or((None, 0), |(existing, revision)| (Some(existing.publish_id.as_str()), *revision))
+    existing.map_or((None, StorePosition::default()), |(existing, position)| {
+        (Some(existing.publish_id.as_str()), *position)
+    })
 }
 
-async fn read_zone(store: &dyn Store, key: &str) -> Result<Option<(StoredZone, u64)>> {
+async fn read_zone(store: &dyn Store, key: &str) -> Result<Option<(StoredZone, StorePosition)>> {
     let snapshot = store.range(key).await.map_err(store_error)?;
     let Some(existing) = snapshot.values.iter().find(|value| value.key == key) else {
         return Ok(None);
     };
-    Ok(Some((from_json(key, &existing.value)?, existing.revision)))
+    Ok(Some((from_json(key, &existing.value)?, existing.position)))
 }
 
 fn zone_conflict(
     name: &str,
     outcome: ConflictOutcome,
-    current_zone: Option<&(StoredZone, u64)>,
+    current_zone: Option<&(StoredZone, StorePosition)>,
 ) -> Error {
     let now = match current_zone {
         Some((stored, _)) if stored.out => "out",
@@ -384,11 +406,11 @@
     let mut services = IndexMap::new();
     for value in snapshot.values.iter().filter(|value| value.key.starts_with(&service_key(""))) {
         let stored: StoredService = from_json(&value.key, &value.value)?;
-        services.insert(stored.spec.name.clone(), (stored, value.revision));
+        services.insert(stored.spec.name.clone(), (stored, value.position));
     }
     let numbers = match numbers.values.iter().find(|value| value.key == NUMBERS_KEY) {
-        Some(value) => (from_json(&value.key, &value.value)?, value.revision),
-        None => (StoredNumbers { next: 1 }, 0),
+        Some(value) => (from_json(&value.key, &value.value)?, value.position),
+        None => (StoredNumbers { next: 1 }, StorePosition::new(numbers.position.era, 0)),
     };
     Ok(StoredServices { services, numbers })
 }
--- a/src/process/status.rs
+++ b/src/process/status.rs
@@ -81,6 +81,8 @@
 /// Status of the system.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Status {
+    /// Era of the store; 0 if it reports none.
+    pub store_era: u64,
     /// Revision of the newest change in the store; `None` if the store did not answer.
     pub store_revision: Option<u64>,
     /// Availability zones that are out of service.
@@ -114,6 +116,9 @@
     pub fn to_text(&self) -> String {
         let mut lines = Vec::new();
         match self.store_revision {
+            Some(revision) if self.store_era > 0 => {
+                lines.push(format!("store: era {}, revision {revision}", self.store_era));
+            }
             Some(revision) => lines.push(format!("store: revision {revision}")),
             None => lines.push("store: no answer".to_owned()),
         }
@@ -141,6 +146,7 @@
     let records: Option<Vec<Record>> =
         snapshot.map(|snapshot| snapshot.values.iter().filter_map(parse_record).collect());
     let mut status = Status {
+        store_era: 0,
         store_revision: records.as_ref().map(|records| newest_revision(records)),
         zones_out: records.as_deref().map_or_else(Vec::new, zones_out),
         nodes: Vec::new(),
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -5,6 +5,9 @@
 use futures_util::future::BoxFuture;
 use snafu::Snafu;
 
+use crate::process::store_eras::StoreEras;
+use crate::version::store_position::StorePosition;
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum StoreError {
@@ -29,6 +32,12 @@
     /// The store has discarded (compacted) the revision from which to watch.
     #[snafu(display("the store has compacted the revision to watch from"))]
     Compacted,
+    /// The store has returned from an older copy, so that revisions read before no longer apply.
+    #[snafu(display("the store has returned from an older copy (may have run: {may_have_run})"))]
+    EraChanged {
+        /// Whether a write may have taken effect, in the era before or in the new one.
+        may_have_run: bool,
+    },
 }
 
 /// One key with its value and the revision of its last change.
@@ -38,26 +47,35 @@
     pub key: String,
     /// Value as stored, not decoded.
     pub value: Vec<u8>,
-    /// Store revision at which the key was last written.
-    pub revision: u64,
+    /// Position at which the key was last written, in the era in which it was read.
+    pub position: StorePosition,
 }
 
 /// All keys with a common prefix at one revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StoreSnapshot {
-    /// Store revision of the read.
-    pub revision: u64,
+    /// Position of the read.
+    pub position: StorePosition,
     /// Values in key order.
     pub values: Vec<StoreValue>,
 }
 
-/// Condition of a transaction: the key was not changed since the given revision.
+impl StoreSnapshot {
+    /// Condition that a key has not changed since this read, or is still absent.
+    pub fn unchanged(&self, key: &str) -> Precondition {
+        let value = self.values.iter().find(|value| value.key == key);
+        let absent = StorePosition::new(self.position.era, 0);
+        Precondition { key: key.to_owned(), position: value.map_or(absent, |value| value.position) }
+    }
+}
+
+/// Condition of a transaction: the key was not changed since the given position.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Precondition {
     /// Key to compare.
     pub key: String,
-    /// Revision of the last change that the key must still have; 0 if the key must not exist.
-    pub revision: u64,
+    /// Position of the last change that the key must still have; revision 0 if the key must not exist.
+    pub position: StorePosition,
 }
 
 /// One key to write in a transaction.
@@ -74,8 +92,8 @@
 /// Result of a transaction that the store has processed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TransactionOutcome {
-    /// All writes took effect at this revision.
-    Done(u64),
+    /// All writes took effect at this position.
+    Done(StorePosition),
     /// A precondition failed; nothing was written.
     Conflict,
 }
@@ -89,8 +107,8 @@
     Removed {
         /// Removed key.
         key: String,
-        /// Store revision of the removal.
-        revision: u64,
+        /// Position of the removal.
+        position: StorePosition,
     },
 }
 
@@ -102,29 +120,34 @@
 
 /// Client of the platform's key-value store.
 pub trait Store: Send + Sync {
+    /// Eras of the store, as this process knows them from its answers.
+    fn eras(&self) -> &StoreEras;
+
     /// Reads all keys that start with `prefix`.
     fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<StoreSnapshot, StoreError>>;
 
-    /// Writes all of `puts` atomically if all conditions hold.
+    /// Writes all of `puts` atomically if all conditions hold. Conditions of another era than the store's
+    /// fail with [`StoreError::EraChanged`].
     fn transaction<'a>(
         &'a self,
         conditions: &'a [Precondition],
         puts: &'a [Put],
     ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>>;
 
-    /// Removes `key` if all conditions hold.
+    /// Removes `key` if all conditions hold, which are checked as in [`Store::transaction`].
     fn remove<'a>(
         &'a self,
         conditions: &'a [Precondition],
         key: &'a str,
     ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>>;
 
-    /// Watches a prefix for changes from `from_revision` on. A store that is polled instead of streaming
-    /// holds each poll open for up to `longest_wait`.
+    /// Watches a prefix for changes after a position. It ends with [`StoreError::EraChanged`] once the store
+    /// is in another era. A store that is polled instead of streaming holds each poll open for up to
+    /// `longest_wait`.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        from_revision: u64,
+        after: StorePosition,
         longest_wait: Duration,
     ) -> BoxFuture<'a, Result<Box<dyn Watch>, StoreError>>;
 
--- a/src/process/store_reader.rs
+++ b/src/process/store_reader.rs
@@ -143,8 +143,7 @@
     }
     read_contacts(shared, store).await?;
     shared.metrics().store_calls.inc();
-    let mut watch =
-        store.watch(CONFIGURATION_PREFIX, snapshot.revision + 1, MAX_WATCH_WAIT).await?;
+    let mut watch = store.watch(CONFIGURATION_PREFIX, snapshot.position, MAX_WATCH_WAIT).await?;
     while shared.with_gossip(|gossip| gossip.is_store_reader(READERS_PER_ZONE)) {
         if let Ok(changes) = timeout(MAX_WATCH_WAIT, watch.next()).await {
             let values: Vec<StoreValue> = changes?.into_iter().filter_map(written_value).collect();
@@ -213,6 +212,7 @@
         StoreError::NoAnswer { .. } => "no-answer",
         StoreError::Refused { .. } => "refused",
         StoreError::Compacted => "compacted",
+        StoreError::EraChanged { .. } => "era-changed",
     };
     count(&shared.metrics().store_failures, reason);
     log_event!(Event::StoreFailed, "{error} failures={failures}");
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -14,6 +14,7 @@
 use crate::version::hash::hash64;
 use crate::version::hash::hash64_with_seed;
 use crate::version::rotation::Rotation;
+use crate::version::store_position::StorePosition;
 
 /// Number of balancers of an agent's zone that probe it.
 pub const MONITORS_PER_AGENT: usize = 3;
@@ -68,6 +69,15 @@
     pub is_down: bool,
 }
 
+/// What is in force at a balancer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct InForce {
+    /// Position of the newest change.
+    pub change: StorePosition,
+    /// Version of the configuration; 0 for none.
+    pub configuration_version: u64,
+}
+
 /// Update of when a balancer of a zone was last seen.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ZoneUpdate {
@@ -102,7 +112,7 @@
 struct Peer {
     exchange: SocketAddrV4,
     zone: String,
-    newest_change: u64,
+    in_force: InForce,
     stamp: u64,
     is_down: bool,
     known_since_ms: u64,
@@ -172,7 +182,7 @@
         let peer = Peer {
             exchange,
             zone: zone.to_owned(),
-            newest_change: 0,
+            in_force: InForce::default(),
             stamp: 0,
             is_down: false,
             known_since_ms: now_ms,
@@ -184,12 +194,12 @@
         self.peers.insert(control, peer);
     }
 
-    /// Applies the state that a balancer sent about itself; `newest_change` is the revision of the newest
-    /// change in force there. Returns whether neighbours have to be notified.
+    /// Applies the state that a balancer sent about itself, and what is in force there. Returns whether
+    /// neighbours have to be notified.
     pub fn apply_direct_update(
         &mut self,
         update: &BalancerUpdate,
-        newest_change: u64,
+        in_force: InForce,
         now_ms: u64,
     ) -> bool {
         self.add_balancer(update.control, update.exchange, &update.zone, now_ms);
@@ -199,7 +209,7 @@
         let is_contested = std::mem::take(&mut peer.is_contested);
         let is_changed =
             is_contested || peer.last_seen_ms.is_none() || peer.is_down != update.is_down;
-        peer.newest_change = newest_change;
+        peer.in_force = in_force;
         peer.stamp = peer.stamp.max(update.stamp);
         peer.is_down = update.is_down;
         peer.last_seen_ms = Some(now_ms);
@@ -402,10 +412,14 @@
         overdue
     }
 
-    /// Exchange addresses of the balancers at which a later change than `newest_change` is in force.
-    pub fn peers_with_newer_change(&self, newest_change: u64) -> Vec<SocketAddrV4> {
-        let ahead = self.peers.values().filter(|peer| peer.newest_change > newest_change);
-        ahead.map(|peer| peer.exchange).collect()
+    /// Exchange addresses of the balancers at which a later change or a newer version of the configuration
+    /// is in force than here.
+    pub fn peers_ahead_of(&self, own: InForce) -> Vec<SocketAddrV4> {
+        let is_ahead = |peer: &&Peer| {
+            peer.in_force.change > own.change
+                || peer.in_force.configuration_version > own.configuration_version
+        };
+        self.peers.values().filter(is_ahead).map(|peer| peer.exchange).collect()
     }
 
     /// Whether this balancer has the lowest address of all live ones. That balancer does the tasks of which
@@ -430,6 +444,17 @@
         }
     }
 
+    /// Whether no other balancer is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Live balancers of the local zone with a lower address.
+    pub fn rank_in_zone(&self, now_ms: u64) -> usize {
+        let in_zone = self.live_peers(now_ms).filter(|(_, peer)| peer.zone == self.zone);
+        in_zone.filter(|(control, _)| **control < self.own_control).count()
+    }
+
     /// Whether each known balancer has been seen, or has not been within `FIRST_CONTACT_TIMEOUT_MS`.
     pub fn is_discovery_complete(&self, now_ms: u64) -> bool {
         let is_discovered = |peer: &Peer| {
--- a/src/version/introduction.rs
+++ b/src/version/introduction.rs
@@ -3,6 +3,10 @@
 //! A balancer resets a flow when every agent that it knows has returned the flow's segment, so a flow must
 //! not open at an agent that some balancer does not know yet. The agent writes its store entry before it
 //! reads which balancers are registered; balancers that register later read that entry.
+//!
+//! Searches leave out an agent that has itself told the balancer that its target has ended. When another
+//! target starts there, the agent takes a new incarnation and introduces itself again, to all that it has
+//! told of the end.
 
 use std::net::SocketAddrV4;
 
@@ -20,46 +24,92 @@
 const DISSEMINATION_MS: u64 = 700;
 
 /// Record of which balancers know of this agent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Introduction {
-    registered: Option<(IndexSet<SocketAddrV4>, u64)>,
+    /// Incarnation of the agent that balancers have to know.
+    incarnation: u64,
+    /// Balancers that have to know it, and the time since when they are known; `None` before the store has
+    /// named them.
+    required: Option<(IndexSet<SocketAddrV4>, u64)>,
     probed_by: IndexSet<SocketAddrV4>,
     first_probe_ms: Option<u64>,
+    /// Balancers that the agent has told that its target has ended.
+    told_of_end: IndexSet<SocketAddrV4>,
     is_complete: bool,
 }
 
 impl Introduction {
-    /// Creates a record in which no balancer knows of the agent.
-    pub fn new() -> Introduction {
-        Introduction::default()
+    /// Creates a record in which no balancer knows of the agent with this incarnation.
+    pub fn new(incarnation: u64) -> Introduction {
+        Introduction {
+            incarnation,
+            required: None,
+            probed_by: IndexSet::new(),
+            first_probe_ms: None,
+            told_of_end: IndexSet::new(),
+            is_complete: false,
+        }
+    }
+
+    /// Incarnation of the agent that balancers have to know.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Takes a later incarnation, which a balancer knows from an earlier process.
+    pub fn raise_incarnation(&mut self, incarnation: u64) {
+        self.incarnation = self.incarnation.max(incarnation);
+    }
+
+    /// Records that these balancers are told that the target has ended.
+    pub fn note_told_of_end(&mut self, balancers: &[SocketAddrV4]) {
+        self.told_of_end.extend(balancers);
+    }
+
+    /// Starts over with a new incarnation if balancers were told that the target has ended, since a target
+    /// runs again. Returns whether it does.
+    pub fn restart_after_end(&mut self, now_ms: u64) -> bool {
+        if self.told_of_end.is_empty() {
+            return false;
+        }
+        let told = std::mem::take(&mut self.told_of_end);
+        if let Some((required, since_ms)) = &mut self.required {
+            required.extend(told);
+            *since_ms = now_ms;
+        }
+        self.incarnation += 1;
+        self.probed_by.clear();
+        self.first_probe_ms = None;
+        self.is_complete = false;
+        true
     }
 
     /// Records the balancers registered in the store, by control address, as read after the agent's own
     /// entry was written. Later calls have no effect.
     pub fn note_registered_balancers(&mut self, balancers: IndexSet<SocketAddrV4>, now_ms: u64) {
-        self.registered.get_or_insert((balancers, now_ms));
+        self.required.get_or_insert((balancers, now_ms));
     }
 
-    /// Records that a balancer has probed the agent and so knows of it.
-    pub fn note_probe_from(&mut self, balancer: SocketAddrV4, now_ms: u64) {
-        if !self.is_complete {
+    /// Records that a balancer has probed the agent, of which it knows `known_incarnation`.
+    pub fn note_probe_from(&mut self, balancer: SocketAddrV4, known_incarnation: u64, now_ms: u64) {
+        if !self.is_complete && known_incarnation == self.incarnation {
             self.probed_by.insert(balancer);
             self.first_probe_ms.get_or_insert(now_ms);
         }
     }
 
-    /// Registered balancers that have not probed the agent and have to be notified of it.
+    /// Balancers that have not probed the agent and have to be notified of it.
     pub fn balancers_to_notify(&self) -> Vec<SocketAddrV4> {
-        let registered = self.registered.iter().flat_map(|(registered, _)| registered);
-        registered.filter(|balancer| !self.probed_by.contains(*balancer)).copied().collect()
+        let required = self.required.iter().flat_map(|(required, _)| required);
+        required.filter(|balancer| !self.probed_by.contains(*balancer)).copied().collect()
     }
 
-    /// Whether the agent may accept openings; once true, it stays true.
+    /// Whether the agent may accept openings; once true, it stays true until the target has ended.
     pub fn is_complete(&mut self, now_ms: u64) -> bool {
         let has_passed = |since_ms: u64, limit_ms| now_ms.saturating_sub(since_ms) >= limit_ms;
-        self.is_complete |= match &self.registered {
-            Some((registered, registered_ms)) => {
-                registered.is_subset(&self.probed_by) || has_passed(*registered_ms, PROBE_WAIT_MS)
+        self.is_complete |= match &self.required {
+            Some((required, since_ms)) => {
+                required.is_subset(&self.probed_by) || has_passed(*since_ms, PROBE_WAIT_MS)
             }
             None => {
                 self.first_probe_ms.is_some_and(|probe_ms| has_passed(probe_ms, DISSEMINATION_MS))
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -15,6 +15,8 @@
 pub mod rotation;
 pub mod routing;
 pub mod service;
+pub mod store_position;
 pub mod table;
 pub mod target_status;
 pub mod target_table;
+pub mod zones_out;
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -8,6 +8,8 @@
 use indexmap::IndexSet;
 
 use crate::version::hash::hash64_with_seed;
+use crate::version::store_position::StorePosition;
+use crate::version::zones_out::ZonesOut;
 
 /// Seed of the hash that splits flows among the services of a route. It differs from that of the hash over
 /// targets, so that the two choices are independent.
@@ -73,15 +75,21 @@
     Unchanged,
 }
 
-/// The configuration and the zones out of service that are in force. An older revision never replaces a
-/// newer one.
+impl ApplyOutcome {
+    fn of(is_changed: bool) -> ApplyOutcome {
+        if is_changed { ApplyOutcome::Changed } else { ApplyOutcome::Unchanged }
+    }
+}
+
+/// The configuration and the zones out of service that are in force. An older position never replaces a
+/// later one. The configuration's version only rises, also when the store returns from an older copy.
 #[derive(Debug, Default)]
 pub struct Routing {
-    revision: u64,
-    newest_change: u64,
+    position: StorePosition,
+    newest_change: StorePosition,
     configuration: Option<Arc<Configuration>>,
-    configuration_revision: u64,
-    zones_out: IndexSet<String>,
+    configuration_position: StorePosition,
+    zones_out: ZonesOut,
     past_services: IndexMap<SocketAddrV4, IndexSet<String>>,
 }
 
@@ -91,16 +99,21 @@
         Routing::default()
     }
 
-    /// Store revision up to which all changes are in force; 0 where none is.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Position in the store up to which all changes are in force; revision 0 where none is.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
-    /// Store revision of the newest change in force; 0 where none is.
-    pub fn newest_change(&self) -> u64 {
+    /// Position of the newest change in force; revision 0 where none is.
+    pub fn newest_change(&self) -> StorePosition {
         self.newest_change
     }
 
+    /// Version of the configuration in force; 0 where none is.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration().map_or(0, |configuration| configuration.version)
+    }
+
     /// Whether any configuration is in force.
     pub fn is_configured(&self) -> bool {
         self.configuration.is_some()
@@ -118,12 +131,17 @@
 
     /// Whether a zone is out of service.
     pub fn is_zone_out(&self, zone: &str) -> bool {
-        self.zones_out.contains(zone)
+        self.zones_out.is_out(zone)
     }
 
     /// Zones that are out of service.
     pub fn zones_out(&self) -> impl Iterator<Item = &str> {
-        self.zones_out.iter().map(String::as_str)
+        self.zones_out.names()
+    }
+
+    /// Zones that are out since before the store's current era, though it may have no mark of them.
+    pub fn held_zones(&self) -> impl Iterator<Item = &str> {
+        self.zones_out.held()
     }
 
     /// Services named for an address by configurations that this process has replaced; their targets may
@@ -133,15 +151,18 @@
         past.into_iter().flatten().map(String::as_str)
     }
 
-    /// Applies a configuration written at store revision `revision`. It is ignored unless its version and
-    /// `revision` are both newer than those of the current one.
+    /// Applies a configuration written at `position`. It is ignored unless its version is newer than that
+    /// of the current one and, within one era, its revision is newer, too.
     pub fn apply_configuration(
         &mut self,
         configuration: Configuration,
-        revision: u64,
+        position: StorePosition,
     ) -> ApplyOutcome {
         let is_older = self.configuration.as_ref().is_some_and(|current| {
-            configuration.version <= current.version || revision <= self.configuration_revision
+            let in_force = self.configuration_position;
+            let is_older_write =
+                position.era == in_force.era && position.revision <= in_force.revision;
+            configuration.version <= current.version || is_older_write
         });
         if is_older {
             return ApplyOutcome::Unchanged;
@@ -150,46 +171,53 @@
             self.record_past_services(&current);
         }
         self.configuration = Some(Arc::new(configuration));
-        self.configuration_revision = revision;
-        self.revision = self.revision.max(revision);
-        self.newest_change = self.newest_change.max(revision);
+        self.configuration_position = position;
+        self.note_change(position);
         ApplyOutcome::Changed
     }
 
-    /// Applies the set of zones that are out of service as of store revision `revision`; `newest_change` is
-    /// the revision of the newest change known there. Ignored if `revision` is older than the one in force.
+    /// Applies all marks of zones out of service as of `position`, each with its revision; `newest_change`
+    /// is the revision of the newest change known there. Ignored if `position` is older than the one in
+    /// force.
     pub fn apply_zones_out(
         &mut self,
-        zones: IndexSet<String>,
+        marks: IndexMap<String, u64>,
         newest_change: u64,
-        revision: u64,
+        position: StorePosition,
+        now_ms: u64,
     ) -> ApplyOutcome {
-        if revision < self.revision {
+        if position < self.position {
             return ApplyOutcome::Unchanged;
         }
+        let newest_change = StorePosition::new(position.era, newest_change);
         self.newest_change = self.newest_change.max(newest_change);
-        self.revision = self.revision.max(revision);
-        if zones == self.zones_out {
-            return ApplyOutcome::Unchanged;
-        }
-        self.zones_out = zones;
-        ApplyOutcome::Changed
+        self.position = position;
+        ApplyOutcome::of(self.zones_out.apply_marks(marks, position.era, now_ms))
     }
 
-    /// Applies the state of one zone, changed at store revision `revision`. Ignored if `revision` is older
-    /// than the one in force.
-    pub fn apply_zone(&mut self, zone: &str, is_out: bool, revision: u64) -> ApplyOutcome {
-        if revision < self.revision {
+    /// Applies the state of one zone, changed at `position`. Ignored if `position` is older than the one in
+    /// force, or of an era of which no marks have been applied.
+    pub fn apply_zone(
+        &mut self,
+        zone: &str,
+        is_out: bool,
+        position: StorePosition,
+    ) -> ApplyOutcome {
+        if position < self.position || position.era != self.zones_out.era() {
             return ApplyOutcome::Unchanged;
         }
-        self.revision = revision;
-        self.newest_change = self.newest_change.max(revision);
-        let changed = if is_out {
-            self.zones_out.insert(zone.to_owned())
-        } else {
-            self.zones_out.shift_remove(zone)
-        };
-        if changed { ApplyOutcome::Changed } else { ApplyOutcome::Unchanged }
+        self.note_change(position);
+        ApplyOutcome::of(self.zones_out.apply_change(zone, is_out.then_some(position.revision)))
+    }
+
+    /// Takes the state of held zones from the store once they have been held for long enough.
+    pub fn release_held_zones(&mut self, now_ms: u64) -> ApplyOutcome {
+        ApplyOutcome::of(self.zones_out.release_held(now_ms))
+    }
+
+    fn note_change(&mut self, position: StorePosition) {
+        self.position = self.position.max(position);
+        self.newest_change = self.newest_change.max(position);
     }
 
     fn record_past_services(&mut self, replaced: &Configuration) {
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -88,6 +88,8 @@
     recheck_since_ms: Option<u64>,
     /// Flows offered since the last load report.
     offered_flows: u32,
+    /// Whether the agent itself, not another balancer, has reported that its target has ended.
+    is_end_direct: bool,
 }
 
 impl TargetEntry {
@@ -103,11 +105,16 @@
         self.offered_flows = 0;
     }
 
-    /// Whether the target has ended, as of the agent's last status. While the agent runs, another target
-    /// process may have started there since, and may hold flows; a new agent introduces itself first.
     fn has_ended(&self) -> bool {
         self.status.as_ref().is_some_and(|status| status.phase == TargetPhase::Ended)
     }
+
+    /// Whether the target may hold flows: it has not ended, as far as is known, or that was only relayed and
+    /// the agent is alive. Before flows open at a target that starts after one has ended, the agent
+    /// introduces itself again to the balancers that it has told of the end itself.
+    fn may_hold_flows(&self, liveness: Liveness) -> bool {
+        !self.has_ended() || (liveness == Liveness::Alive && !self.is_end_direct)
+    }
 }
 
 /// Addresses and zone of an agent.
@@ -179,19 +186,40 @@
             restart_deadline_ms: 0,
             recheck_since_ms: None,
             offered_flows: 0,
+            is_end_direct: false,
         };
         self.targets.insert(data, entry);
         true
     }
 
-    /// Applies a status that the agent sent `age_ms` ago, unless it is older than the current one. Returns
-    /// whether anything but the load has changed.
+    /// Applies a status that the agent itself sent `age_ms` ago, unless it is older than the current one.
+    /// Returns whether anything but the load has changed.
     pub fn apply_status(&mut self, status: TargetStatus, age_ms: u64, now_ms: u64) -> bool {
+        self.apply_status_from(true, status, age_ms, now_ms)
+    }
+
+    /// Applies a status that the agent sent, `is_direct`, or another balancer relayed.
+    fn apply_status_from(
+        &mut self,
+        is_direct: bool,
+        status: TargetStatus,
+        age_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         self.add_agent(status.data, status.control, &status.zone, now_ms);
         let entry = &mut self.targets[&status.data];
+        let has_ended = status.phase == TargetPhase::Ended;
+        let is_known_end = has_ended
+            && entry.status.as_ref().is_some_and(|current| {
+                current.phase == TargetPhase::Ended && current.incarnation == status.incarnation
+            });
+        let is_end_direct = has_ended && (is_direct || (is_known_end && entry.is_end_direct));
         let mut is_changed = entry.is_suspected;
         match &entry.status {
-            Some(current) if !status.is_after(current) => return false,
+            Some(current) if !status.is_after(current) => {
+                entry.is_end_direct |= is_known_end && is_direct;
+                return false;
+            }
             Some(current) if current.incarnation == status.incarnation => {
                 is_changed |= current.phase != status.phase
                     || current.service != status.service
@@ -202,6 +230,7 @@
                 entry.load_sequence = 0;
             }
         }
+        entry.is_end_direct = is_end_direct;
         let sent_ms = now_ms.saturating_sub(age_ms);
         entry.last_seen_ms = entry.last_seen_ms.max(Some(sent_ms));
         if entry.recheck_since_ms.is_some_and(|since_ms| since_ms <= sent_ms) {
@@ -210,6 +239,9 @@
         if entry.unanswered_probe_ms.is_some_and(|probe_ms| probe_ms <= sent_ms) {
             entry.unanswered_probe_ms = None;
         }
+        if has_ended && !is_end_direct {
+            entry.recheck_since_ms.get_or_insert(now_ms);
+        }
         entry.is_suspected = false;
         entry.restart_deadline_ms = if status.is_stopping { now_ms + RESTART_GRACE_MS } else { 0 };
         entry.control = status.control;
@@ -222,7 +254,8 @@
 
     /// Applies another balancer's update of an agent. Returns whether anything but the load has changed.
     pub fn apply_relayed_update(&mut self, update: &TargetUpdate, now_ms: u64) -> bool {
-        let is_changed = self.apply_status(update.status.clone(), update.age_ms, now_ms);
+        let is_changed =
+            self.apply_status_from(false, update.status.clone(), update.age_ms, now_ms);
         is_changed | (update.is_suspected && self.suspect(&update.status, now_ms))
     }
 
@@ -430,25 +463,25 @@
     }
 
     /// All agents that may hold a flow, ordered by service as in `services`, then by rendezvous score;
-    /// agents of other services come next, those whose target has ended last.
+    /// agents of other services come last.
     pub fn search(&self, services: &[&str], flow_hash: u64, now_ms: u64) -> Search {
         let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
             let liveness = self.liveness_of(entry, now_ms);
-            if entry.has_ended() && liveness != Liveness::Alive {
+            if !entry.may_hold_flows(liveness) {
                 continue;
             }
             let status = entry.status.as_ref();
             let service = status.map_or("", |status| status.service.as_str());
-            let service_rank = services.iter().position(|name| *name == service);
-            let service_rank = service_rank.unwrap_or(services.len());
+            let rank = services.iter().position(|name| *name == service);
+            let rank = rank.unwrap_or(services.len());
             let score = u64::MAX - score(flow_hash, entry.id);
-            ranked.push(((entry.has_ended(), service_rank, score), *data, entry, liveness));
+            ranked.push((rank, score, *data, entry, liveness));
         }
-        ranked.sort_unstable_by_key(|(rank, ..)| *rank);
+        ranked.sort_unstable_by_key(|(rank, score, ..)| (*rank, *score));
         let mut chains: IndexMap<&str, Vec<SocketAddrV4>> = IndexMap::new();
         let mut search = Search::default();
-        for (_, data, entry, liveness) in ranked {
+        for (.., data, entry, liveness) in ranked {
             if liveness == Liveness::Alive {
                 chains.entry(&entry.zone).or_default().push(data);
                 search.fingerprint = search.fingerprint.wrapping_add(entry.id);
@@ -465,20 +498,22 @@
     /// Fingerprint of the agents that a search would ask now. It differs from that of an earlier search if
     /// an agent has become known or available since.
     pub fn searchable_fingerprint(&self, now_ms: u64) -> u64 {
-        let alive = self
-            .targets
-            .values()
-            .filter(|entry| self.liveness_of(entry, now_ms) == Liveness::Alive);
-        alive.fold(0, |sum, entry| sum.wrapping_add(entry.id))
+        let searchable = self.targets.values().filter(|entry| {
+            entry.may_hold_flows(Liveness::Alive)
+                && self.liveness_of(entry, now_ms) == Liveness::Alive
+        });
+        searchable.fold(0, |sum, entry| sum.wrapping_add(entry.id))
     }
 
     /// State of the agents that may hold a flow and are not alive: `Awaited` if any of them is awaited,
     /// else `Silent`; `None` if all are alive.
     pub fn unavailable_holder_liveness(&self, now_ms: u64) -> Option<Liveness> {
-        let holders = self.targets.values().filter(|entry| !entry.has_ended());
-        holders
-            .map(|entry| self.liveness_of(entry, now_ms))
-            .filter(|liveness| *liveness != Liveness::Alive)
+        let all = self.targets.values().map(|entry| (entry, self.liveness_of(entry, now_ms)));
+        let unavailable = all.filter(|(entry, liveness)| {
+            *liveness != Liveness::Alive && entry.may_hold_flows(*liveness)
+        });
+        unavailable
+            .map(|(_, liveness)| liveness)
             .min_by_key(|liveness| *liveness != Liveness::Awaited)
     }
 
@@ -503,6 +538,16 @@
         })
     }
 
+    /// Agents that are alive, have sent a status and are not stopping.
+    pub fn running_agents(&self, now_ms: u64) -> impl Iterator<Item = AgentAddresses<'_>> {
+        let is_running = move |entry: &TargetEntry| {
+            entry.status.is_some() && self.liveness_of(entry, now_ms) == Liveness::Alive
+        };
+        self.targets.iter().filter(move |(_, entry)| is_running(entry)).map(|(data, entry)| {
+            AgentAddresses { data: *data, control: entry.control, zone: &entry.zone }
+        })
+    }
+
     /// Whether an alive target of one of these services accepts flows.
     pub fn has_accepting_target(&self, services: &[&str], now_ms: u64) -> bool {
         self.has_alive_target(services, now_ms, TargetPhase::accepts_flows)
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -340,6 +340,9 @@
     /// Newest run of the agent that the balancer knows of; 0 for none.
     #[prost(fixed64, tag = "8")]
     pub known_lifetime: u64,
+    /// Era of the store in which the revision was given out; absent in builds that know no eras.
+    #[prost(uint64, optional, tag = "9")]
+    pub era: ::core::option::Option<u64>,
 }
 /// What an agent says of itself and of its target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -428,6 +431,12 @@
     /// Whether the sender's next state goes to the receiver, too; absent where this is none of its regular ones.
     #[prost(bool, optional, tag = "13")]
     pub follows: ::core::option::Option<bool>,
+    /// Era of the store in which the revision `newest_change` was given out; absent in builds that know no eras.
+    #[prost(uint64, optional, tag = "14")]
+    pub era: ::core::option::Option<u64>,
+    /// Version of the configuration in force; 0 for none.
+    #[prost(uint64, tag = "15")]
+    pub configuration_version: u64,
 }
 /// What a balancer tells of another one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -493,6 +502,9 @@
     pub revision: u64,
     #[prost(message, repeated, tag = "2")]
     pub items: ::prost::alloc::vec::Vec<ConfigurationItem>,
+    /// Era of the store in which the revision was given out; absent in builds that know no eras.
+    #[prost(uint64, optional, tag = "3")]
+    pub era: ::core::option::Option<u64>,
 }
 /// One value, as the store holds it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -503,4 +515,7 @@
     pub value: ::prost::alloc::vec::Vec<u8>,
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    /// Era of the store in which the revision was given out, where it is not that of the snapshot.
+    #[prost(uint64, optional, tag = "4")]
+    pub era: ::core::option::Option<u64>,
 }
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -27,6 +27,7 @@
 use rhubarbthread::version::message;
 use rhubarbthread::version::peer::GossipState;
 use rhubarbthread::version::record::BalancerRecord;
+use rhubarbthread::version::store_position::StorePosition;
 use rhubarbthread::version::table::ForwardingTable;
 use rhubarbthread::wire::ControlRequest;
 
@@ -174,7 +175,7 @@
     fn store_value_of_any_bytes(name in "[a-z]{0,8}", value in any_bytes()) {
         for kind in ["service", "zone"] {
             let key = format!("rhubarbthread/v1/config/{kind}/{name}");
-            let _ = parse_record(&StoreValue { key, value: value.clone(), revision: 1 });
+            let _ = parse_record(&StoreValue { key, value: value.clone(), position: StorePosition::new(0, 1) });
         }
     }
 
--- a/tests/models_introduction.rs
+++ b/tests/models_introduction.rs
@@ -1,7 +1,8 @@
 //! Model of the introduction of a starting agent to two balancers. The balancers start, crash and restart;
 //! notifications and answers are lost or wait in the queue of a slow balancer; the agent writes its store
-//! entry, reads the registered balancers and opens a flow at a target that may have ended and started again
-//! meanwhile. No balancer may reset that flow without having asked the agent.
+//! entry and reads the registered balancers; its target ends, starts again and opens a flow. No balancer may
+//! reset that flow without having asked the agent. What balancers tell each other of the end is not
+//! modelled, since none believes it before the agent itself has said so.
 //!
 //! The crate's own `Introduction` decides when openings are accepted. Updates between balancers are not
 //! modelled: the property has to hold whichever of them arrive. A balancer reads its control socket in
@@ -27,7 +28,7 @@
     BalancersRead([bool; BALANCERS]),
 }
 
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 struct Balancer {
     is_running: bool,
     is_registered: bool,
@@ -35,27 +36,37 @@
     knows_agent: bool,
     /// Whether the store has its entry, which remains after a crash.
     is_in_store: bool,
-    /// Whether the last status that it has seen says that the agent's target has ended.
-    believes_ended: bool,
-    /// Whether a notification from the agent is in flight; it says whether the target runs.
-    is_notified: bool,
-    /// The notification in the queue of the control socket, if any: whether the target runs.
-    queued: Option<bool>,
+    /// Latest run of the agent's target that it knows of.
+    known_run: Option<Run>,
+    /// Notification from the agent in flight, if any: the run of the target that it is about.
+    notified: Option<Run>,
+    /// The same in the queue of the control socket.
+    queued: Option<Run>,
     /// Whether the search for the flow that is under way has asked the agent; `None` without a search.
     search_asks_agent: Option<bool>,
-    /// Whether its answer to the agent is in flight.
-    has_answered: bool,
+    /// Its answer to the agent in flight, if any: the run of the target that it knows of.
+    answer: Option<Run>,
     crashes_left: u8,
 }
 
+/// Run of the agent's target, as its status says.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Run {
+    First,
+    Ended,
+    Second,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct State {
     agent: Agent,
     is_agent_in_store: bool,
-    is_target_running: bool,
+    run: Run,
     balancers: [Balancer; BALANCERS],
     /// Balancers whose answer has reached the agent.
     answered: [bool; BALANCERS],
+    /// Balancers that the agent has told that its target has ended.
+    told_of_end: [bool; BALANCERS],
     /// Balancers whose time to answer has expired while they were not running or had the notification in
     /// their queue.
     timed_out: [bool; BALANCERS],
@@ -63,14 +74,39 @@
     was_reset: bool,
 }
 
+impl State {
+    /// The same state with its balancers in order: they differ in nothing but their states.
+    fn in_order(mut self) -> State {
+        let key = |state: &State, index: usize| {
+            let read = matches!(state.agent, Agent::BalancersRead(registered) if registered[index]);
+            let agent = (read, state.answered[index], state.told_of_end[index]);
+            (state.balancers[index], agent, state.timed_out[index])
+        };
+        if key(&self, 0) > key(&self, 1) {
+            self.balancers.swap(0, 1);
+            self.answered.swap(0, 1);
+            self.told_of_end.swap(0, 1);
+            self.timed_out.swap(0, 1);
+            if let Agent::BalancersRead(registered) = &mut self.agent {
+                registered.swap(0, 1);
+            }
+        }
+        self
+    }
+}
+
 /// Guards of the protocol; a test disables one to show that the model finds the fault.
 #[derive(Clone, Copy)]
 struct IntroductionModel {
     agent_writes_before_it_reads: bool,
     balancer_writes_before_it_reads: bool,
     waits_for_answers: bool,
-    /// A search also asks an agent whose target has ended, as far as the balancer knows.
-    asks_ended_targets: bool,
+    /// The agent introduces itself again after its target has ended and another one has started.
+    introduces_again: bool,
+    /// A balancer takes the end of a target from the agent itself only.
+    only_direct_ends_count: bool,
+    /// Only answers to the status of the second run count for the second introduction.
+    answers_name_the_run: bool,
     /// Before a reset, the balancer checks whether it would ask other agents now.
     compares_asked_agents: bool,
 }
@@ -79,7 +115,9 @@
     agent_writes_before_it_reads: true,
     balancer_writes_before_it_reads: true,
     waits_for_answers: true,
-    asks_ended_targets: true,
+    introduces_again: true,
+    only_direct_ends_count: true,
+    answers_name_the_run: true,
     compares_asked_agents: true,
 };
 
@@ -93,19 +131,26 @@
 
 impl IntroductionModel {
     fn may_open(&self, state: &State) -> bool {
-        let Agent::BalancersRead(registered) = state.agent else {
+        if !matches!(state.agent, Agent::BalancersRead(_)) {
             return false;
-        };
-        let mut introduction = Introduction::new();
-        introduction.note_registered_balancers(addresses_of(registered), 0);
+        }
+        let required = [0, 1].map(|index| self.is_required(state, index));
+        let mut introduction = Introduction::new(0);
+        introduction.note_registered_balancers(addresses_of(required), 0);
         for balancer in
             addresses_of(state.answered).into_iter().chain(addresses_of(state.timed_out))
         {
-            introduction.note_probe_from(balancer, 0);
+            introduction.note_probe_from(balancer, 0, 0);
         }
         introduction.is_complete(0) || !self.waits_for_answers
     }
 
+    /// Whether the agent introduces itself to a balancer.
+    fn is_required(&self, state: &State, index: usize) -> bool {
+        let is_told = self.introduces_again && state.run == Run::Second && state.told_of_end[index];
+        is_told || matches!(state.agent, Agent::BalancersRead(registered) if registered[index])
+    }
+
     fn agent_steps(&self, state: &State, out: &mut Vec<State>) {
         let registered = state.balancers.map(|balancer| balancer.is_in_store);
         let has_written = state.is_agent_in_store;
@@ -120,10 +165,18 @@
         if may_read && !matches!(state.agent, Agent::BalancersRead(_)) {
             out.push(State { agent: Agent::BalancersRead(registered), ..state.clone() });
         }
-        if !state.is_target_running {
-            out.push(State { is_target_running: true, ..state.clone() });
+        match state.run {
+            Run::First if !state.is_open => out.push(State { run: Run::Ended, ..state.clone() }),
+            Run::Ended if self.introduces_again => out.push(State {
+                run: Run::Second,
+                answered: [false; BALANCERS],
+                timed_out: [false; BALANCERS],
+                ..state.clone()
+            }),
+            Run::Ended => out.push(State { run: Run::Second, ..state.clone() }),
+            Run::First | Run::Second => {}
         }
-        if has_written && state.is_target_running && self.may_open(state) {
+        if has_written && state.run != Run::Ended && self.may_open(state) {
             out.push(State { is_open: true, ..state.clone() });
         }
     }
@@ -135,37 +188,50 @@
             change(&mut next);
             out.push(next);
         };
-        if matches!(state.agent, Agent::BalancersRead(registered) if registered[index])
-            && !state.answered[index]
-        {
-            push(&|next| next.balancers[index].is_notified = true);
-            if !balancer.is_running || balancer.queued.is_some() {
-                push(&|next| next.timed_out[index] = true);
-            }
+        let is_required = self.is_required(state, index) && !state.answered[index];
+        // It notifies those that have to know it, and answers the probes of those that do.
+        if is_required || (balancer.is_running && balancer.knows_agent) {
+            push(&|next| {
+                next.balancers[index].notified = Some(next.run);
+                next.told_of_end[index] |= next.run == Run::Ended;
+            });
+        }
+        let is_excused = !balancer.is_running || balancer.queued == Some(state.run);
+        if is_required && is_excused {
+            push(&|next| next.timed_out[index] = true);
         }
-        if balancer.is_notified {
-            push(&|next| next.balancers[index].is_notified = false);
-            if balancer.is_running {
+        if let Some(run) = balancer.notified {
+            push(&|next| next.balancers[index].notified = None);
+            if balancer.is_running && balancer.queued.is_none_or(|queued| queued <= run) {
                 push(&|next| {
-                    next.balancers[index].is_notified = false;
-                    next.balancers[index].queued = Some(next.is_target_running);
+                    next.balancers[index].notified = None;
+                    next.balancers[index].queued = Some(run);
                 });
             }
         }
-        if let Some(is_target_running) = balancer.queued {
+        if let Some(run) = balancer.queued {
             push(&|next| {
                 let balancer = &mut next.balancers[index];
                 balancer.queued = None;
                 balancer.knows_agent = true;
-                balancer.believes_ended = !is_target_running;
-                balancer.has_answered = true;
+                balancer.known_run = balancer.known_run.max(Some(run));
+                balancer.answer = Some(run);
+            });
+        }
+        if let Some(run) = balancer.answer {
+            push(&|next| next.balancers[index].answer = None);
+            let counts = !self.answers_name_the_run || run == state.run;
+            push(&|next| {
+                next.balancers[index].answer = None;
+                next.answered[index] |= counts;
             });
         }
-        if balancer.has_answered {
-            push(&|next| next.balancers[index].has_answered = false);
+        let other = state.balancers[1 - index];
+        let tells_of_end = !self.only_direct_ends_count && other.known_run == Some(Run::Ended);
+        if balancer.is_running && tells_of_end && balancer.known_run < Some(Run::Ended) {
             push(&|next| {
-                next.balancers[index].has_answered = false;
-                next.answered[index] = true;
+                next.balancers[index].knows_agent = true;
+                next.balancers[index].known_run = Some(Run::Ended);
             });
         }
     }
@@ -178,7 +244,8 @@
             out.push(next);
         };
         if !balancer.is_running {
-            push(&|next| next.is_running = true);
+            // Datagrams to a process that does not run are lost.
+            push(&|next| (next.is_running, next.notified) = (true, None));
             return;
         }
         if !balancer.is_registered {
@@ -201,8 +268,7 @@
                 };
             });
         }
-        let asks_agent =
-            balancer.knows_agent && (self.asks_ended_targets || !balancer.believes_ended);
+        let asks_agent = balancer.knows_agent && balancer.known_run != Some(Run::Ended);
         let may_search = state.is_open && balancer.is_registered && balancer.has_read_nodes;
         if may_search && balancer.search_asks_agent.is_none() {
             push(&|next| next.search_asks_agent = Some(asks_agent));
@@ -225,9 +291,10 @@
         State {
             agent: Agent::Started,
             is_agent_in_store: false,
-            is_target_running: false,
+            run: Run::First,
             balancers: [Balancer { crashes_left: 1, ..Balancer::default() }; BALANCERS],
             answered: [false; BALANCERS],
+            told_of_end: [false; BALANCERS],
             timed_out: [false; BALANCERS],
             is_open: false,
             was_reset: false,
@@ -241,7 +308,7 @@
             self.exchange_steps(state, index, &mut out);
             self.balancer_steps(state, index, &mut out);
         }
-        out
+        out.into_iter().map(State::in_order).collect()
     }
 
     fn violation(&self, state: &State) -> Option<String> {
@@ -273,9 +340,21 @@
 }
 
 #[test]
-fn a_target_that_started_again_is_not_asked_if_ended_ones_are_left_out() {
-    let model = IntroductionModel { asks_ended_targets: false, ..ALL_GUARDS };
-    explore::expect_violation("ended targets left out", &model);
+fn a_target_that_started_again_without_an_introduction_is_left_out() {
+    let model = IntroductionModel { introduces_again: false, ..ALL_GUARDS };
+    explore::expect_violation("no second introduction", &model);
+}
+
+#[test]
+fn an_end_that_another_balancer_tells_of_may_be_over() {
+    let model = IntroductionModel { only_direct_ends_count: false, ..ALL_GUARDS };
+    explore::expect_violation("relayed ends count", &model);
+}
+
+#[test]
+fn an_answer_to_an_earlier_status_does_not_show_that_the_new_run_is_known() {
+    let model = IntroductionModel { answers_name_the_run: false, ..ALL_GUARDS };
+    explore::expect_violation("any answer counts", &model);
 }
 
 #[test]
--- a/tests/models_reconnect.rs
+++ b/tests/models_reconnect.rs
@@ -29,6 +29,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::revision;
 use crate::support::passthrough::status_of;
 
 const ROUTE: u16 = 443;
@@ -112,7 +113,9 @@
     fn new() -> Simulation {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         balancer.knows_all_agents = true;
-        balancer.routing.apply_configuration(configuration_of(1, "vypocet", &[(ROUTE, true)]), 10);
+        balancer
+            .routing
+            .apply_configuration(configuration_of(1, "vypocet", &[(ROUTE, true)]), revision(10));
         for octet in 1..=AGENTS {
             balancer.targets.add_agent(agent(octet), address(octet, 7720), "a", 0);
         }
@@ -132,7 +135,7 @@
     }
 
     fn start_agent(&mut self, octet: u8) {
-        let mut agent = AgentState::new(1_800, self.now_ms);
+        let mut agent = AgentState::new(1, 1_800, self.now_ms);
         let report = TargetReport {
             id: format!("i-{octet}"),
             started_ms: 1,
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
@@ -17,6 +16,7 @@
 use rhubarbthread::version::routing::ApplyOutcome;
 use rhubarbthread::version::routing::Configuration;
 use rhubarbthread::version::target_status::TargetStatus;
+use rhubarbthread::version::target_status::TargetUpdate;
 use rhubarbthread::version::target_table::AGENT_TIMEOUT_MS;
 use rhubarbthread::version::target_table::Liveness;
 use rhubarbthread::version::target_table::RESTART_GRACE_MS;
@@ -25,6 +25,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 use crate::support::passthrough::status_of;
 
@@ -40,7 +41,7 @@
 fn balancer() -> BalancerState {
     let mut balancer = BalancerState::new("a", address(100, 7720));
     balancer.knows_all_agents = true;
-    balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
+    balancer.routing.apply_configuration(configuration(1, "vypocet"), revision(10));
     for status in [
         status_of(11, "a", "vypocet"),
         status_of(12, "a", "vypocet"),
@@ -151,7 +152,7 @@
     };
     a_zone_that_is_out_gets_no_opening: {
         let mut balancer = balancer();
-        balancer.routing.apply_zone("a", true, 11);
+        balancer.routing.apply_zone("a", true, revision(11));
         for port in 1..50 {
             let chain = chains(balancer.decide(&opening_of(IDEMPOTENT, port), 1)).remove(0);
             assert!(chain.iter().all(|hop| [agent(21), agent(22)].contains(hop)), "{chain:?}");
@@ -194,13 +195,13 @@
     nobody_who_takes_flows_is_a_refusal_at_once: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         balancer.knows_all_agents = true;
-        balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
+        balancer.routing.apply_configuration(configuration(1, "vypocet"), revision(10));
         let decision = balancer.decide(&opening_of(IDEMPOTENT, 1), 1);
         assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NoTarget));
     };
     while_agents_are_starting_an_opening_is_not_refused: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
-        balancer.routing.apply_configuration(configuration(1, "vypocet"), 10);
+        balancer.routing.apply_configuration(configuration(1, "vypocet"), revision(10));
         balancer.targets.add_agent(agent(11), address(11, 7720), "a", 0);
         let decision = balancer.decide(&opening_of(IDEMPOTENT, 1), 1);
         assert_eq!(decision, ForwardingDecision::Wait(WaitReason::NoTargetYet));
@@ -251,7 +252,7 @@
     };
     a_route_that_moved_is_searched_in_its_past_service_first: {
         let mut balancer = balancer();
-        balancer.routing.apply_configuration(configuration(2, "zpravy"), 11);
+        balancer.routing.apply_configuration(configuration(2, "zpravy"), revision(11));
         let chains = chains(balancer.decide(&segment_of(ONCE, 1), 1));
         let local_chain = chains.iter().find(|chain| chain.contains(&agent(13))).expect("a chain through zone a");
         assert_eq!(local_chain[0], agent(13));
@@ -262,15 +263,22 @@
         let decision = return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 1);
         assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
     };
-    a_target_that_started_again_is_asked_by_a_balancer_that_missed_it: {
-        // Beside a running agent a target ends and another one starts. A balancer that the second status
-        // has not reached must still find the flows that have opened there since.
+    an_end_that_another_balancer_relays_is_checked_before_the_agent_is_left_out: {
+        // Another target may have started there since, and its agent has told those that it told of the end.
         let mut balancer = balancer();
         let ended = TargetStatus { sequence: 2, phase: TargetPhase::Ended, ..status_of(22, "b", "vypocet") };
-        balancer.targets.apply_status(ended, 0, 1);
-        let chains = chains(balancer.decide(&segment_of(ONCE, 1), 2));
-        let chain = chains.iter().find(|chain| chain.contains(&agent(22))).expect("a chain through the agent");
-        assert_eq!(chain.last(), Some(&agent(22)), "it comes last, as it rarely holds a flow: {chain:?}");
+        let relayed = TargetUpdate { status: ended.clone(), age_ms: 0, is_suspected: false };
+        balancer.targets.apply_relayed_update(&relayed, 1);
+        let asked = |balancer: &mut BalancerState, port| chains(balancer.decide(&segment_of(ONCE, port), 2)).concat();
+        assert!(asked(&mut balancer, 1).contains(&agent(22)));
+        assert_eq!(balancer.targets.take_due_probes(true, |_, _| false, "a", 3), [agent(22)]);
+        balancer.targets.apply_status(ended.clone(), 0, 4);
+        assert!(!asked(&mut balancer, 2).contains(&agent(22)));
+        balancer.targets.apply_relayed_update(&relayed, 5);
+        assert!(!asked(&mut balancer, 3).contains(&agent(22)));
+        let next = TargetStatus { incarnation: ended.incarnation + 1, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(next, 0, 6);
+        assert!(asked(&mut balancer, 4).contains(&agent(22)));
     };
     an_agent_that_stopped_after_its_target_ended_delays_no_reset: {
         let mut balancer = balancer();
@@ -447,15 +455,15 @@
     };
     an_older_version_never_comes_back: {
         let mut balancer = balancer();
-        assert_eq!(balancer.routing.apply_configuration(configuration(5, "zpravy"), 20), ApplyOutcome::Changed);
-        assert_eq!(balancer.routing.apply_configuration(configuration(4, "vypocet"), 21), ApplyOutcome::Unchanged);
-        assert_eq!(balancer.routing.apply_configuration(configuration(6, "vypocet"), 19), ApplyOutcome::Unchanged);
+        assert_eq!(balancer.routing.apply_configuration(configuration(5, "zpravy"), revision(20)), ApplyOutcome::Changed);
+        assert_eq!(balancer.routing.apply_configuration(configuration(4, "vypocet"), revision(21)), ApplyOutcome::Unchanged);
+        assert_eq!(balancer.routing.apply_configuration(configuration(6, "vypocet"), revision(19)), ApplyOutcome::Unchanged);
     };
     an_older_snapshot_takes_no_zone_back_in: {
         let mut balancer = balancer();
-        balancer.routing.apply_zone("a", true, 30);
-        assert_eq!(balancer.routing.apply_zones_out(IndexSet::new(), 25, 29), ApplyOutcome::Unchanged);
+        balancer.routing.apply_zone("a", true, revision(30));
+        assert_eq!(balancer.routing.apply_zones_out(IndexMap::new(), 25, revision(29), 0), ApplyOutcome::Unchanged);
         assert!(balancer.routing.is_zone_out("a"));
-        assert_eq!(balancer.routing.apply_zones_out(IndexSet::new(), 25, 31), ApplyOutcome::Changed);
+        assert_eq!(balancer.routing.apply_zones_out(IndexMap::new(), 25, revision(31), 0), ApplyOutcome::Changed);
     };
 }
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -21,9 +21,12 @@
 use rhubarbthread::process::passthrough::agent_state::AgentState;
 use rhubarbthread::process::passthrough::message::Probe;
 use rhubarbthread::process::passthrough::segment_header::SegmentHeader;
+use rhubarbthread::version::store_position::ReportedPosition;
+use rhubarbthread::version::store_position::StorePosition;
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 
 /// Time after which a target without reports gets no openings, in milliseconds: nine tenths of the time
@@ -37,6 +40,9 @@
     has_waited: false,
 };
 
+/// Incarnation of the agents at their start.
+const INCARNATION: u64 = 7;
+
 fn report(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
     TargetReport {
         id: id.to_owned(),
@@ -78,7 +84,7 @@
 }
 
 fn agent() -> AgentState {
-    let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+    let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
     agent.gate.apply_report(report("a", 1, 2), 0);
     agent.introduction.note_registered_balancers(IndexSet::new(), 0);
     agent
@@ -86,7 +92,7 @@
 
 /// Creates an agent that has just started and has read these balancers from the store.
 fn starting_agent(balancers: &[SocketAddrV4]) -> AgentState {
-    let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+    let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
     agent.gate.apply_report(report("a", 1, 2), 0);
     agent.introduction.note_registered_balancers(balancers.iter().copied().collect(), 0);
     agent
@@ -95,12 +101,12 @@
 fn probe_from(balancer: SocketAddrV4) -> Probe {
     Probe {
         balancer,
-        configuration_revision: 8,
+        configuration: revision(8).into(),
         is_zone_out: false,
         service: String::new(),
         limits: TargetLimits { cold_openings_per_s: None, max_flows: 10 },
         idle_timeout_ms: 0,
-        known_incarnation: 0,
+        known_incarnation: INCARNATION,
     }
 }
 
@@ -134,6 +140,19 @@
     agent.handle_target_segment(&accepted, now_ms);
 }
 
+/// A probe of a balancer at which a zone is out or in as of a position in the store.
+fn zone_probe(configuration: ReportedPosition, is_zone_out: bool) -> Probe {
+    Probe {
+        balancer: address(9, 7720),
+        configuration,
+        is_zone_out,
+        service: String::new(),
+        limits: TargetLimits { cold_openings_per_s: None, max_flows: 10 },
+        idle_timeout_ms: 0,
+        known_incarnation: INCARNATION,
+    }
+}
+
 cases! {
     an_unknown_target_takes_no_flow: {
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS);
@@ -181,7 +200,7 @@
     a_target_whose_host_refuses_connections_holds_no_flow: {
         // After a power failure, an agent without a report from its target delayed all resets of lost flows,
         // for up to 8 s if the agent was stopped before the first report.
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         assert_eq!(agent.phase(1), TargetPhase::Unknown);
         agent.note_target_not_running();
         assert_eq!(agent.phase(1), TargetPhase::Ended);
@@ -426,7 +445,7 @@
     };
     a_cold_target_counts_as_starting_until_its_limits_are_told: {
         // Openings were refused for lack of a target shortly before the limits of the cold target arrived.
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         agent.gate.apply_report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 1) }, 0);
         agent.introduction.note_registered_balancers(IndexSet::new(), 0);
         assert_eq!(agent.phase(1), TargetPhase::Introducing);
@@ -442,7 +461,7 @@
         assert_eq!(agent.phase(0), TargetPhase::Serving);
     };
     with_the_store_away_the_first_balancer_tells_the_others: {
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         agent.gate.apply_report(report("a", 1, 2), 4_000);
         assert_eq!(agent.phase(4_000), TargetPhase::Introducing);
         agent.apply_probe(&probe_from(address(9, 7720)), 4_000);
@@ -450,7 +469,7 @@
         assert_eq!(agent.phase(4_700), TargetPhase::Serving);
     };
     an_opening_that_nobody_takes_is_refused_at_once: {
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         agent.introduction.note_registered_balancers(IndexSet::new(), 0);
         let action = agent.handle_node_segment(&opening(1), header(&[], 0), 1);
         assert_eq!(refusal_of(&action), Some(RefusalReason::TargetSilent));
@@ -491,7 +510,7 @@
         );
     };
     a_reset_of_a_target_that_nobody_knows_yet_reaches_no_caller: {
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         cookie_of(&agent.handle_node_segment(&segment(1), header(&[], 4), 1));
         let reset = Segment { resets: true, ..segment(1) };
         assert_eq!(agent.handle_target_segment(&reset, 2), Action::Drop);
@@ -503,7 +522,7 @@
         assert!(matches!(action, Action::ForwardToCaller { .. }), "{action:?}");
     };
     an_agent_that_got_the_first_report_has_seen_every_flow: {
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         agent.gate.apply_report(report("a", 1, 1), 0);
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 1),
@@ -513,7 +532,7 @@
     a_target_that_never_reports_holds_no_flow: {
         // After a power failure every search for a lost flow ended at an agent whose target did not start
         // again, so callers waited until their deadline.
-        let mut agent = AgentState::new(TARGET_TIMEOUT_MS, 0);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         cookie_of(&agent.handle_node_segment(&segment(1), header(&[], 4), 2_500));
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 2_501),
@@ -540,18 +559,52 @@
     };
     an_older_configuration_does_not_open_a_zone: {
         let mut agent = agent();
-        let probe = |revision, is_zone_out| Probe {
-            balancer: address(9, 7720),
-            configuration_revision: revision,
-            is_zone_out,
-            service: String::new(),
-            limits: TargetLimits { cold_openings_per_s: None, max_flows: 10 },
-            idle_timeout_ms: 0,
-            known_incarnation: 0,
-        };
-        agent.apply_probe(&probe(8, true), 1);
-        agent.apply_probe(&probe(7, false), 2);
+        agent.apply_probe(&zone_probe(revision(8).into(), true), 1);
+        agent.apply_probe(&zone_probe(revision(7).into(), false), 2);
         let action = agent.handle_node_segment(&opening(1), header(&[], 0), 3);
         assert_eq!(refusal_of(&action), Some(RefusalReason::ZoneOut));
     };
+    a_lower_revision_of_a_later_era_takes_the_zone_out: {
+        let mut agent = agent();
+        agent.apply_probe(&zone_probe(StorePosition::new(1, 100).into(), false), 1);
+        agent.apply_probe(&zone_probe(StorePosition::new(2, 61).into(), true), 2);
+        // A balancer that is cut off from the store still probes in the era before.
+        agent.apply_probe(&zone_probe(StorePosition::new(1, 110).into(), false), 3);
+        let action = agent.handle_node_segment(&opening(1), header(&[], 0), 4);
+        assert_eq!(refusal_of(&action), Some(RefusalReason::ZoneOut));
+    };
+    a_probe_of_a_build_without_eras_counts_in_the_agents_era: {
+        let mut agent = agent();
+        let without_era = |revision| ReportedPosition { era: None, revision };
+        agent.apply_probe(&zone_probe(StorePosition::new(2, 61).into(), false), 1);
+        assert!(!agent.apply_probe(&zone_probe(without_era(60), true), 2));
+        assert!(agent.apply_probe(&zone_probe(without_era(62), true), 3));
+    };
+    an_agent_introduces_itself_again_when_another_target_starts: {
+        let (told, registered) = (address(9, 7720), address(8, 7720));
+        let mut agent = starting_agent(&[registered]);
+        agent.apply_probe(&probe_from(registered), 1);
+        assert!(agent.introduction.is_complete(2));
+        agent.note_target_not_running();
+        assert_eq!(agent.phase_to_report(&[told], 3), TargetPhase::Ended);
+        agent.gate.apply_report(report("b", 9, 1), 1_000);
+        assert_eq!(agent.phase_to_report(&[told], 1_000), TargetPhase::Introducing);
+        assert_eq!(agent.introduction.incarnation(), INCARNATION + 1);
+        let knowing = |balancer| Probe { known_incarnation: INCARNATION + 1, ..probe_from(balancer) };
+        agent.apply_probe(&knowing(registered), 1_001);
+        // The probe shows that its sender may still believe that the target has ended.
+        agent.apply_probe(&probe_from(told), 1_002);
+        let refused = agent.handle_node_segment(&opening(1), header(&[], 0), 1_003);
+        assert_eq!(refusal_of(&refused), Some(RefusalReason::NotIntroduced));
+        agent.apply_probe(&knowing(told), 1_004);
+        assert!(agent.introduction.is_complete(1_005));
+    };
+    a_target_that_nobody_was_told_has_ended_needs_no_second_introduction: {
+        let mut agent = agent();
+        agent.note_target_not_running();
+        agent.gate.apply_report(report("b", 9, 1), 10);
+        agent.phase_to_report(&[address(9, 7720)], 11);
+        assert!(agent.introduction.is_complete(11));
+        assert_eq!(agent.introduction.incarnation(), INCARNATION);
+    };
 }
--- a/tests/passthrough_health.rs
+++ b/tests/passthrough_health.rs
@@ -28,6 +28,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 use crate::support::passthrough::status_of;
 
@@ -81,7 +82,7 @@
 }
 
 fn ready_agent(last: u8) -> AgentState {
-    let mut agent = AgentState::new(1_800, 0);
+    let mut agent = AgentState::new(1, 1_800, 0);
     let report = TargetReport {
         id: format!("i-{last}"),
         started_ms: 1,
@@ -100,7 +101,9 @@
     fn new() -> Simulation {
         let mut balancer = BalancerState::new("a", address(100, 7720));
         balancer.knows_all_agents = true;
-        balancer.routing.apply_configuration(configuration_of(1, "vypocet", &[(ROUTE, true)]), 10);
+        balancer
+            .routing
+            .apply_configuration(configuration_of(1, "vypocet", &[(ROUTE, true)]), revision(10));
         Simulation {
             balancer,
             agents: (1..=AGENTS).map(|last| (last, ready_agent(last))).collect(),
--- a/tests/passthrough_spread.rs
+++ b/tests/passthrough_spread.rs
@@ -14,6 +14,7 @@
 use rand::rngs::StdRng;
 use rhubarbthread::version::balancer_table::BalancerTable;
 use rhubarbthread::version::balancer_table::BalancerUpdate;
+use rhubarbthread::version::balancer_table::InForce;
 use rhubarbthread::version::balancer_table::MONITORS_PER_AGENT;
 use rhubarbthread::version::balancer_table::UpdateOutcome;
 use rhubarbthread::version::balancer_table::ZONE_TIMEOUT_MS;
@@ -48,7 +49,11 @@
 
 /// Applies a state that the balancer with this address sent about itself.
 fn receive_state(table: &mut BalancerTable, octet: u8, zone: &str, now_ms: u64) {
-    table.apply_direct_update(&update_from(octet, zone, WALL_MS + now_ms), 0, now_ms);
+    table.apply_direct_update(
+        &update_from(octet, zone, WALL_MS + now_ms),
+        InForce::default(),
+        now_ms,
+    );
 }
 
 /// Table of a balancer of zone `a` in which these balancers of zones `a` and `b` are live.
@@ -150,7 +155,7 @@
     fn receive(&mut self, own: SocketAddrV4, state: &State) {
         let (now_ms, table) = (self.now_ms, &mut self.tables[&own]);
         let mut changed: Vec<SocketAddrV4> = Vec::new();
-        if table.apply_direct_update(&state.sender, 0, now_ms) {
+        if table.apply_direct_update(&state.sender, InForce::default(), now_ms) {
             changed.push(state.sender.control);
         }
         if let Some(will_send_next) = state.will_send_next {
@@ -359,7 +364,7 @@
                     stamp: WALL_MS,
                     is_down: false,
                 };
-                full_table.apply_direct_update(&state, 0, 0);
+                full_table.apply_direct_update(&state, InForce::default(), 0);
             }
             let neighbours = full_table.neighbours(1);
             let remote = neighbours.iter().filter(|remote| !table.is_in_zone(**remote));
@@ -438,10 +443,10 @@
         );
         assert_eq!(table.updates(501).count(), 1);
         assert!(
-            table.apply_direct_update(&update_from(2, "a", WALL_MS), 0, 501),
+            table.apply_direct_update(&update_from(2, "a", WALL_MS), InForce::default(), 501),
             "neighbours have to be notified that it is running"
         );
-        assert!(!table.apply_direct_update(&update_from(2, "a", WALL_MS), 0, 502));
+        assert!(!table.apply_direct_update(&update_from(2, "a", WALL_MS), InForce::default(), 502));
         assert_eq!(table.apply_relayed_update(&down, 2_503), UpdateOutcome::Changed);
         assert_eq!(
             table.apply_relayed_update(&update_from(2, "a", WALL_MS), 2_600),
--- a/tests/passthrough_waiting.rs
+++ b/tests/passthrough_waiting.rs
@@ -23,6 +23,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 use crate::support::passthrough::status_of;
 
@@ -66,7 +67,7 @@
 fn balancer(agents: &[u8], phase: TargetPhase) -> BalancerState {
     let mut balancer = BalancerState::new("a", address(100, 7720));
     balancer.knows_all_agents = true;
-    balancer.routing.apply_configuration(configuration(), 10);
+    balancer.routing.apply_configuration(configuration(), revision(10));
     for last in agents {
         balancer.targets.apply_status(status(*last, phase, 1), 0, 0);
     }
@@ -148,7 +149,7 @@
         );
         enqueue(&mut balancer, &opening(1), 0);
         assert_eq!(take_releasable(&mut balancer, 1), []);
-        balancer.routing.apply_configuration(configuration(), 10);
+        balancer.routing.apply_configuration(configuration(), revision(10));
         balancer.targets.apply_status(status(1, TargetPhase::Serving, 1), 0, 1);
         assert_eq!(take_releasable(&mut balancer, 2), [opening(1)]);
     };
--- /dev/null
+++ b/tests/store_eras.rs
@@ -0,0 +1,215 @@
+//! The store returns from an older copy: eras of its answers, and what of the operators' items is in force.
+
+#[macro_use]
+mod support;
+
+use indexmap::IndexMap;
+use rhubarbthread::process::store::StoreError;
+use rhubarbthread::process::store_eras::StoreEras;
+use rhubarbthread::version::balancer_table::BalancerTable;
+use rhubarbthread::version::balancer_table::BalancerUpdate;
+use rhubarbthread::version::balancer_table::InForce;
+use rhubarbthread::version::routing::ApplyOutcome;
+use rhubarbthread::version::routing::Routing;
+use rhubarbthread::version::store_position::ReportedPosition;
+use rhubarbthread::version::store_position::StorePosition;
+use rhubarbthread::version::zones_out::HOLD_MS;
+
+use crate::support::passthrough::address;
+use crate::support::passthrough::configuration_of;
+
+const OUTDATED: Result<u64, StoreError> = Err(StoreError::EraChanged { may_have_run: true });
+
+fn at(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(era, revision)
+}
+
+/// Eras of a store that has reported era 2.
+fn in_era_2() -> StoreEras {
+    let eras = StoreEras::new();
+    assert_eq!(eras.note_answer(Some("2"), 0), Ok(2));
+    eras
+}
+
+/// Notes an answer to a call that is made now.
+fn answer(eras: &StoreEras, reported: Option<&str>) -> Result<u64, StoreError> {
+    eras.note_answer(reported, eras.known())
+}
+
+fn marks(zones: &[(&str, u64)]) -> IndexMap<String, u64> {
+    zones.iter().map(|(zone, revision)| ((*zone).to_owned(), *revision)).collect()
+}
+
+/// A routing with version 7 of the configuration, as read in era 1 at revision 100.
+fn routing_in_era_1(zones: &[(&str, u64)]) -> Routing {
+    let mut routing = Routing::new();
+    routing.apply_configuration(configuration_of(7, "vypocet", &[(443, true)]), at(1, 90));
+    routing.apply_zones_out(marks(zones), 95, at(1, 100), 0);
+    routing
+}
+
+/// Reads a snapshot of the store.
+fn read(routing: &mut Routing, zones: &[(&str, u64)], position: StorePosition, now_ms: u64) {
+    routing.apply_zones_out(marks(zones), position.revision, position, now_ms);
+}
+
+cases! {
+    the_first_era_is_no_return: {
+        assert_eq!((in_era_2().known(), in_era_2().rises()), (2, 0));
+    };
+    a_rise_is_counted_and_known: {
+        let eras = in_era_2();
+        let changes = eras.subscribe();
+        assert_eq!(answer(&eras, Some("3")), Ok(3));
+        assert_eq!((eras.known(), eras.rises()), (3, 1));
+        assert!(changes.has_changed().expect("the record is alive"));
+    };
+    a_jump_by_five_is_one_rise: {
+        let eras = in_era_2();
+        assert_eq!(answer(&eras, Some("7")), Ok(7));
+        assert_eq!(eras.rises(), 1);
+    };
+    a_header_that_is_missing_or_invalid_counts_as_the_last_era: {
+        let eras = in_era_2();
+        let invalid = [None, Some(""), Some("three"), Some("-3"), Some("2.5"), Some("18446744073709551616")];
+        for reported in invalid {
+            assert_eq!(answer(&eras, reported), Ok(2), "{reported:?}");
+        }
+        assert_eq!(answer(&eras, Some("3")), Ok(3));
+    };
+    a_store_that_reports_no_era_stays_in_era_0: {
+        let eras = StoreEras::new();
+        assert_eq!(answer(&eras, None), Ok(0));
+        assert_eq!((eras.known(), eras.rises()), (0, 0));
+    };
+    a_late_answer_of_an_earlier_era_is_dropped: {
+        let eras = in_era_2();
+        let known_at_call = eras.known();
+        assert_eq!(answer(&eras, Some("3")), Ok(3));
+        assert_eq!(eras.note_answer(Some("2"), known_at_call), OUTDATED);
+        assert_eq!(eras.note_answer(None, known_at_call), OUTDATED);
+        assert_eq!(eras.outdated_answers(), 2);
+    };
+    an_era_that_falls_by_one_does_not_stop_the_calls: {
+        // No answer to a call made in era 3 can be of era 2, so the header is wrong.
+        let eras = in_era_2();
+        assert_eq!(answer(&eras, Some("3")), Ok(3));
+        assert_eq!(answer(&eras, Some("2")), Ok(3));
+        assert_eq!(eras.outdated_answers(), 0);
+    };
+    an_era_that_another_node_reports_is_not_taken_for_the_stores: {
+        let eras = in_era_2();
+        let heard = eras.subscribe_heard();
+        eras.note_heard(9);
+        assert!(heard.has_changed().expect("the record is alive"));
+        assert_eq!(eras.known(), 2);
+    };
+    an_evacuation_at_a_lower_revision_of_a_new_era_counts: {
+        let mut routing = routing_in_era_1(&[]);
+        read(&mut routing, &[], at(2, 60), 1_000);
+        assert_eq!(routing.apply_zone("a", true, at(2, 61)), ApplyOutcome::Changed);
+        assert!(routing.is_zone_out("a"));
+    };
+    a_new_version_at_a_lower_revision_of_a_new_era_counts: {
+        let mut routing = routing_in_era_1(&[]);
+        read(&mut routing, &[], at(2, 60), 1_000);
+        let newer = configuration_of(8, "zpravy", &[(443, true)]);
+        assert_eq!(routing.apply_configuration(newer, at(2, 61)), ApplyOutcome::Changed);
+    };
+    the_version_of_the_copy_never_comes_into_force: {
+        let mut routing = routing_in_era_1(&[]);
+        let copied = configuration_of(6, "zpravy", &[(443, true)]);
+        assert_eq!(routing.apply_configuration(copied, at(2, 55)), ApplyOutcome::Unchanged);
+        assert_eq!(routing.configuration_version(), 7);
+    };
+    a_newer_version_that_the_copy_lacks_is_taken_from_a_peer: {
+        // A balancer that started in the new era has read the version of the copy.
+        let mut routing = Routing::new();
+        routing.apply_configuration(configuration_of(6, "vypocet", &[(443, true)]), at(2, 55));
+        let lost = configuration_of(7, "vypocet", &[(443, true)]);
+        assert_eq!(routing.apply_configuration(lost, at(1, 90)), ApplyOutcome::Changed);
+    };
+    changes_of_the_era_before_are_ignored: {
+        let mut routing = routing_in_era_1(&[]);
+        read(&mut routing, &[], at(2, 60), 1_000);
+        assert_eq!(routing.apply_zone("a", true, at(1, 120)), ApplyOutcome::Unchanged);
+        read(&mut routing, &[("b", 110)], at(1, 120), 1_001);
+        assert!(!routing.is_zone_out("b"));
+    };
+    a_lost_evacuation_is_held_until_operators_write_it_again: {
+        let mut routing = routing_in_era_1(&[("a", 95)]);
+        read(&mut routing, &[], at(2, 60), 1_000);
+        assert!(routing.is_zone_out("a"));
+        assert_eq!(routing.apply_zone("a", true, at(2, 61)), ApplyOutcome::Unchanged);
+        assert_eq!(routing.release_held_zones(1_000 + HOLD_MS), ApplyOutcome::Unchanged);
+        assert!(routing.is_zone_out("a"));
+    };
+    a_zone_that_the_copy_shows_out_is_out_until_operators_take_it_back_again: {
+        let mut routing = routing_in_era_1(&[("a", 40)]);
+        routing.apply_zone("a", false, at(1, 101));
+        read(&mut routing, &[("a", 40)], at(2, 60), 1_000);
+        assert!(routing.is_zone_out("a"));
+        assert_eq!(routing.release_held_zones(1_000 + HOLD_MS), ApplyOutcome::Unchanged);
+        assert_eq!(routing.apply_zone("a", false, at(2, 61)), ApplyOutcome::Changed);
+        assert!(!routing.is_zone_out("a"));
+    };
+    an_evacuation_that_operators_gave_up_meanwhile_ends: {
+        let mut routing = routing_in_era_1(&[("a", 95)]);
+        read(&mut routing, &[], at(2, 60), 1_000);
+        assert_eq!(routing.release_held_zones(999 + HOLD_MS), ApplyOutcome::Unchanged);
+        assert_eq!(routing.release_held_zones(1_000 + HOLD_MS), ApplyOutcome::Changed);
+        assert!(!routing.is_zone_out("a"));
+    };
+    a_mark_that_reuses_the_revision_of_a_removed_one_counts: {
+        let mut routing = routing_in_era_1(&[("a", 40)]);
+        routing.apply_zone("a", false, at(1, 101));
+        read(&mut routing, &[("a", 40)], at(2, 40), 1_000);
+        assert!(routing.is_zone_out("a"));
+    };
+    a_change_between_two_reads_of_one_era_ends_the_hold: {
+        let mut routing = routing_in_era_1(&[("a", 95), ("b", 40)]);
+        read(&mut routing, &[("b", 40)], at(2, 60), 1_000);
+        assert_eq!((routing.is_zone_out("a"), routing.is_zone_out("b")), (true, true));
+        read(&mut routing, &[], at(2, 63), 2_000);
+        assert_eq!((routing.is_zone_out("a"), routing.is_zone_out("b")), (true, false));
+        read(&mut routing, &[("a", 64)], at(2, 65), 3_000);
+        read(&mut routing, &[], at(2, 67), 4_000);
+        assert!(!routing.is_zone_out("a"));
+    };
+    two_returns_in_a_row_keep_what_was_in_force: {
+        let mut routing = routing_in_era_1(&[("a", 95)]);
+        read(&mut routing, &[], at(2, 60), 1_000);
+        read(&mut routing, &[], at(3, 50), 4_000);
+        assert!(routing.is_zone_out("a"));
+        assert_eq!(routing.release_held_zones(3_999 + HOLD_MS), ApplyOutcome::Unchanged);
+        assert_eq!(routing.release_held_zones(4_000 + HOLD_MS), ApplyOutcome::Changed);
+    };
+    an_era_that_was_never_read_is_skipped: {
+        let mut routing = routing_in_era_1(&[("a", 95)]);
+        read(&mut routing, &[], at(3, 50), 4_000);
+        assert!(routing.is_zone_out("a"));
+        assert_eq!(routing.apply_zone("a", false, at(3, 51)), ApplyOutcome::Changed);
+    };
+    a_peer_in_a_later_era_is_ahead: {
+        let mut peers = BalancerTable::new(address(1, 7720), "a");
+        let update = BalancerUpdate {
+            control: address(2, 7720),
+            exchange: address(2, 8166),
+            zone: "a".to_owned(),
+            stamp: 1,
+            is_down: false,
+        };
+        let own = InForce { change: at(1, 100), configuration_version: 7 };
+        for (change, configuration_version, is_ahead) in
+            [(at(1, 99), 7, false), (at(2, 40), 6, true), (at(1, 50), 8, true), (at(1, 101), 7, true)]
+        {
+            peers.apply_direct_update(&update, InForce { change, configuration_version }, 0);
+            assert_eq!(!peers.peers_ahead_of(own).is_empty(), is_ahead, "{change:?} {configuration_version}");
+        }
+    };
+    a_position_without_era_is_in_the_receivers: {
+        let reported = ReportedPosition { era: None, revision: 5 };
+        assert_eq!(reported.or_in_era(3), at(3, 5));
+        assert_eq!(ReportedPosition::from(at(2, 5)).or_in_era(3), at(2, 5));
+    };
+}
--- a/tests/support/explore.rs
+++ b/tests/support/explore.rs
@@ -30,11 +30,14 @@
 
 /// Checks that no reachable state is a violation, and returns the number of reachable states.
 pub fn check<M: Model>(name: &str, model: &M) -> usize {
-    if let Some(path) = counterexample(model) {
-        let last = path.last().expect("a path has an end");
-        panic!("{name}: {:?}\n{path:#?}", model.violation(last));
-    }
-    let count = bfs_reach(model.start(), |state| model.next(state)).count();
+    let states = bfs_reach(model.start(), |state| model.next(state));
+    let count = states
+        .inspect(|state| {
+            if let Some(violation) = model.violation(state) {
+                panic!("{name}: {violation}\n{:#?}", counterexample(model));
+            }
+        })
+        .count();
     println!("{name}: {count} states");
     count
 }
--- a/tests/support/passthrough.rs
+++ b/tests/support/passthrough.rs
@@ -11,6 +11,7 @@
 use rhubarbthread::version::routing::RouteRule;
 use rhubarbthread::version::routing::ServiceLimits;
 use rhubarbthread::version::routing::WeightedService;
+use rhubarbthread::version::store_position::StorePosition;
 use rhubarbthread::version::target_status::TargetStatus;
 
 /// A port of the host 10.0.0.`last_octet`.
@@ -23,6 +24,11 @@
     address(last_octet, 8172)
 }
 
+/// A revision of a store that reports no era.
+pub fn revision(revision: u64) -> StorePosition {
+    StorePosition::new(0, revision)
+}
+
 /// A caller's segment without payload, on the flow from its port to the route's port.
 pub fn segment_of(route_port: u16, caller_port: u16) -> Segment {
     Segment {
