--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -232,6 +232,7 @@
             let state = self.state();
             (state.flows.open_count(), state.flows.busy_count())
         };
+        self.metrics.set_eras(self.platform.store.eras());
         self.metrics.flows.set(i64::from(flows));
         self.metrics.busy_flows.set(i64::from(busy));
         self.metrics.text()
--- a/src/process/passthrough/agent_introduction.rs
+++ b/src/process/passthrough/agent_introduction.rs
@@ -36,8 +36,7 @@
     let record_failure = |error: &StoreError| shared.metrics.note_store_failure("balancers", error);
     let read = || registered_balancers(&shared);
     let balancers = retry_until_ok(RETRY_BACKOFF_MS, read, record_failure).await;
-    let now_ms = shared.now_ms();
-    shared.state().introduction.note_registered_balancers(balancers, now_ms);
+    shared.state().introduction.note_registered_balancers(balancers);
     loop {
         introduce(&shared).await;
         shared.introduction_due.notified().await;
@@ -45,15 +44,11 @@
 }
 
 /// Sends the status to the balancers that do not know this incarnation of the agent, until it may accept
-/// openings.
+/// openings or its target has ended.
 async fn introduce(shared: &Shared) {
     loop {
         let now_ms = shared.now_ms();
-        let uninformed = {
-            let mut state = shared.state();
-            (!state.introduction.is_complete(now_ms))
-                .then(|| state.introduction.balancers_to_notify())
-        };
+        let uninformed = shared.state().balancers_to_notify(now_ms);
         let Some(uninformed) = uninformed else {
             return shared.status_changed.notify_one();
         };
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -319,6 +319,16 @@
         }
     }
 
+    /// Begins or continues the introduction: the balancers to notify, or `None` if there is nothing to
+    /// introduce while the target has ended, or the introduction is complete.
+    pub fn balancers_to_notify(&mut self, now_ms: u64) -> Option<Vec<SocketAddrV4>> {
+        if self.is_target_lost(now_ms) || self.introduction.is_complete(now_ms) {
+            return None;
+        }
+        self.introduction.begin(now_ms);
+        Some(self.introduction.balancers_to_notify())
+    }
+
     /// Whether the target's flows are lost: it has ended, or sent nothing for [`TARGET_LOST_MS`] while this
     /// process ran without a stall.
     fn is_target_lost(&self, now_ms: u64) -> bool {
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -337,7 +337,12 @@
 
 impl MetricsSource for Shared {
     fn metrics_text(&self) -> String {
-        let flows = self.state().flow_locations.len();
+        let (flows, held_zones) = {
+            let state = self.state();
+            (state.flow_locations.len(), state.routing.held_zones().count())
+        };
+        self.metrics.set_eras(self.platform.store.eras());
+        self.metrics.zones_held.set(i64::try_from(held_zones).unwrap_or(i64::MAX));
         self.metrics.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.metrics.text()
     }
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -15,6 +15,7 @@
 use crate::process::metrics::count;
 use crate::process::metrics::encode_registry;
 use crate::process::store::StoreError;
+use crate::process::store_eras::StoreEras;
 
 /// Bucket bounds of the answer latency, in seconds. They resolve the latency objectives of 0.15 to 0.8 s.
 const ANSWER_BOUNDS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
@@ -43,6 +44,12 @@
     pub searches: Counter,
     /// Failed calls of the store, by call.
     pub store_failures: ReasonCounter,
+    /// Times that the store has returned from an older copy.
+    pub store_eras: Gauge,
+    /// Answers of the store that were dropped because they were of an earlier era.
+    pub store_outdated_answers: Gauge,
+    /// Availability zones that are out since before the store's return.
+    pub zones_held: Gauge,
     /// Entries of nodes that were missing in the store and were written again.
     pub entries_restored: Counter,
     /// Agents that a segment passed on the path to its target.
@@ -68,6 +75,9 @@
             target_checks: Family::default(),
             searches: Counter::default(),
             store_failures: Family::default(),
+            store_eras: Gauge::default(),
+            store_outdated_answers: Gauge::default(),
+            zones_held: Gauge::default(),
             entries_restored: Counter::default(),
             hops: Histogram::new(HOP_BOUNDS),
             flows: Gauge::default(),
@@ -95,6 +105,17 @@
         );
         registry.register("searches", "Searches for flows", metrics.searches.clone());
         registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
+        registry.register("store_eras", "Returns of the store", metrics.store_eras.clone());
+        registry.register(
+            "store_outdated_answers",
+            "Store answers of an earlier era, dropped",
+            metrics.store_outdated_answers.clone(),
+        );
+        registry.register(
+            "zones_held",
+            "Zones out since before the store's return",
+            metrics.zones_held.clone(),
+        );
         registry.register(
             "entries_restored",
             "Missing node entries written to the store",
@@ -117,6 +138,13 @@
         log_event!(Event::StoreFailed, "call={call} {error}");
     }
 
+    /// Updates what is known of the store's eras.
+    pub fn set_eras(&self, eras: &StoreEras) {
+        self.store_eras.set(i64::try_from(eras.rises()).unwrap_or(i64::MAX));
+        let outdated_answers = i64::try_from(eras.outdated_answers()).unwrap_or(i64::MAX);
+        self.store_outdated_answers.set(outdated_answers);
+    }
+
     /// Encodes all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         encode_registry(&self.registry)
--- a/src/version/introduction.rs
+++ b/src/version/introduction.rs
@@ -28,9 +28,10 @@
 pub struct Introduction {
     /// Incarnation of the agent that balancers have to know.
     incarnation: u64,
-    /// Balancers that have to know it, and the time since when they are known; `None` before the store has
-    /// named them.
-    required: Option<(IndexSet<SocketAddrV4>, u64)>,
+    /// Balancers that have to know it; `None` before the store has named them.
+    required: Option<IndexSet<SocketAddrV4>>,
+    /// Time since when they are notified.
+    notified_since_ms: Option<u64>,
     probed_by: IndexSet<SocketAddrV4>,
     first_probe_ms: Option<u64>,
     /// Balancers that the agent has told that its target has ended.
@@ -44,6 +45,7 @@
         Introduction {
             incarnation,
             required: None,
+            notified_since_ms: None,
             probed_by: IndexSet::new(),
             first_probe_ms: None,
             told_of_end: IndexSet::new(),
@@ -73,10 +75,10 @@
             return false;
         }
         let told = std::mem::take(&mut self.told_of_end);
-        if let Some((required, since_ms)) = &mut self.required {
+        if let Some(required) = &mut self.required {
             required.extend(told);
-            *since_ms = now_ms;
         }
+        self.notified_since_ms = Some(now_ms);
         self.incarnation += 1;
         self.probed_by.clear();
         self.first_probe_ms = None;
@@ -86,8 +88,13 @@
 
     /// Records the balancers registered in the store, by control address, as read after the agent's own
     /// entry was written. Later calls have no effect.
-    pub fn note_registered_balancers(&mut self, balancers: IndexSet<SocketAddrV4>, now_ms: u64) {
-        self.required.get_or_insert((balancers, now_ms));
+    pub fn note_registered_balancers(&mut self, balancers: IndexSet<SocketAddrV4>) {
+        self.required.get_or_insert(balancers);
+    }
+
+    /// Records that the balancers are notified from now on, unless they are already.
+    pub fn begin(&mut self, now_ms: u64) {
+        self.notified_since_ms.get_or_insert(now_ms);
     }
 
     /// Records that a balancer has probed the agent, of which it knows `known_incarnation`.
@@ -100,7 +107,7 @@
 
     /// Balancers that have not probed the agent and have to be notified of it.
     pub fn balancers_to_notify(&self) -> Vec<SocketAddrV4> {
-        let required = self.required.iter().flat_map(|(required, _)| required);
+        let required = self.required.iter().flatten();
         required.filter(|balancer| !self.probed_by.contains(*balancer)).copied().collect()
     }
 
@@ -108,8 +115,9 @@
     pub fn is_complete(&mut self, now_ms: u64) -> bool {
         let has_passed = |since_ms: u64, limit_ms| now_ms.saturating_sub(since_ms) >= limit_ms;
         self.is_complete |= match &self.required {
-            Some((required, since_ms)) => {
-                required.is_subset(&self.probed_by) || has_passed(*since_ms, PROBE_WAIT_MS)
+            Some(required) => {
+                let notified = |since_ms| has_passed(since_ms, PROBE_WAIT_MS);
+                required.is_subset(&self.probed_by) || self.notified_since_ms.is_some_and(notified)
             }
             None => {
                 self.first_probe_ms.is_some_and(|probe_ms| has_passed(probe_ms, DISSEMINATION_MS))
--- /dev/null
+++ b/src/version/target_table/probes.rs
@@ -0,0 +1,66 @@
+//! Choice of the agents that a balancer probes.
+
+use std::net::SocketAddrV4;
+
+use crate::version::target_table::TargetTable;
+use crate::version::target_table::liveness;
+use crate::version::target_table::liveness::FIRST_CONTACT_TIMEOUT_MS;
+use crate::version::target_table::liveness::RECENTLY_SEEN_MS;
+
+/// Maximum number of agents of remote zones probed in one call. A probe and its answer are 170 bytes in
+/// the largest deployment.
+const MAX_REMOTE_PROBES: usize = 64;
+
+impl TargetTable {
+    /// Schedules probes to all agents that were not seen recently, including those that other balancers
+    /// monitor. Called when a search does not complete, which means that an agent on its chain is gone.
+    pub fn recheck_all(&mut self, now_ms: u64) {
+        for entry in self.targets.values_mut() {
+            let is_recently_seen = entry
+                .last_seen_ms
+                .is_some_and(|seen_ms| now_ms.saturating_sub(seen_ms) < RECENTLY_SEEN_MS);
+            if !is_recently_seen {
+                entry.recheck_since_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
+    /// Returns the agents to probe now, and starts the time-out of those without an unanswered probe.
+    ///
+    /// A probe round covers the monitored agents, those not up to date and those to recheck; calls
+    /// between rounds cover only agents that may be starting. Of remote zones at most
+    /// `MAX_REMOTE_PROBES` agents are returned, others at the next call.
+    pub fn take_due_probes(
+        &mut self,
+        is_probe_round: bool,
+        is_monitor: impl Fn(SocketAddrV4, &str) -> bool,
+        local_zone: &str,
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4> {
+        let mut due = Vec::new();
+        let mut remote = Vec::new();
+        for (data, entry) in &mut self.targets {
+            if is_probe_round {
+                entry.is_monitored = is_monitor(*data, &entry.zone);
+            }
+            let is_awaited = entry.last_seen_ms.is_none()
+                && now_ms.saturating_sub(entry.known_since_ms) < FIRST_CONTACT_TIMEOUT_MS;
+            let is_outdated = !liveness::is_up_to_date(&self.zones_last_seen_ms, entry, now_ms);
+            let needs_recheck = entry.recheck_since_ms.is_some();
+            if is_awaited
+                || (is_probe_round && (is_outdated || needs_recheck || entry.is_monitored))
+            {
+                let is_local = entry.zone == local_zone;
+                if is_local { &mut due } else { &mut remote }.push(*data);
+            } else if is_probe_round {
+                // The agent is up to date: a probe lost earlier must not count if it is probed again.
+                entry.unanswered_probe_ms = None;
+            }
+        }
+        due.extend(self.remote_probe_rotation.next_batch(&remote, MAX_REMOTE_PROBES));
+        for data in &due {
+            self.targets[data].unanswered_probe_ms.get_or_insert(now_ms);
+        }
+        due
+    }
+}
--- a/tests/models_introduction.rs
+++ b/tests/models_introduction.rs
@@ -136,7 +136,7 @@
         }
         let required = [0, 1].map(|index| self.is_required(state, index));
         let mut introduction = Introduction::new(0);
-        introduction.note_registered_balancers(addresses_of(required), 0);
+        introduction.note_registered_balancers(addresses_of(required));
         for balancer in
             addresses_of(state.answered).into_iter().chain(addresses_of(state.timed_out))
         {
--- a/tests/models_reconnect.rs
+++ b/tests/models_reconnect.rs
@@ -146,7 +146,7 @@
             slots: SLOTS,
         };
         agent.gate.apply_report(report, self.now_ms);
-        agent.introduction.note_registered_balancers(IndexSet::new(), self.now_ms);
+        agent.introduction.note_registered_balancers(IndexSet::new());
         self.agents.insert(octet, agent);
         self.queues.insert(octet, TargetQueue::default());
         self.send_status(octet);
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -86,15 +86,16 @@
 fn agent() -> AgentState {
     let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
     agent.gate.apply_report(report("a", 1, 2), 0);
-    agent.introduction.note_registered_balancers(IndexSet::new(), 0);
+    agent.introduction.note_registered_balancers(IndexSet::new());
     agent
 }
 
-/// Creates an agent that has just started and has read these balancers from the store.
+/// Creates an agent that has just started, has read these balancers from the store and notifies them.
 fn starting_agent(balancers: &[SocketAddrV4]) -> AgentState {
     let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
     agent.gate.apply_report(report("a", 1, 2), 0);
-    agent.introduction.note_registered_balancers(balancers.iter().copied().collect(), 0);
+    agent.introduction.note_registered_balancers(balancers.iter().copied().collect());
+    agent.balancers_to_notify(0);
     agent
 }
 
@@ -447,7 +448,7 @@
         // Openings were refused for lack of a target shortly before the limits of the cold target arrived.
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         agent.gate.apply_report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 1) }, 0);
-        agent.introduction.note_registered_balancers(IndexSet::new(), 0);
+        agent.introduction.note_registered_balancers(IndexSet::new());
         assert_eq!(agent.phase(1), TargetPhase::Introducing);
         let other = Probe { service: "zpravy".to_owned(), ..probe_from(address(9, 7720)) };
         agent.apply_probe(&other, 2);
@@ -470,7 +471,7 @@
     };
     an_opening_that_nobody_takes_is_refused_at_once: {
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-        agent.introduction.note_registered_balancers(IndexSet::new(), 0);
+        agent.introduction.note_registered_balancers(IndexSet::new());
         let action = agent.handle_node_segment(&opening(1), header(&[], 0), 1);
         assert_eq!(refusal_of(&action), Some(RefusalReason::TargetSilent));
     };
@@ -599,6 +600,18 @@
         agent.apply_probe(&knowing(told), 1_004);
         assert!(agent.introduction.is_complete(1_005));
     };
+    an_agent_is_introduced_only_once_its_target_runs: {
+        let balancer = address(9, 7720);
+        let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
+        agent.note_target_not_running();
+        agent.introduction.note_registered_balancers(IndexSet::from([balancer]));
+        assert_eq!(agent.balancers_to_notify(1), None);
+        agent.gate.apply_report(report("a", 1, 1), 5_000);
+        assert_eq!(agent.balancers_to_notify(5_000), Some(vec![balancer]));
+        let refused = agent.handle_node_segment(&opening(1), header(&[], 0), 5_059);
+        assert_eq!(refusal_of(&refused), Some(RefusalReason::NotIntroduced));
+        assert!(agent.introduction.is_complete(5_060));
+    };
     a_target_that_nobody_was_told_has_ended_needs_no_second_introduction: {
         let mut agent = agent();
         agent.note_target_not_running();
--- a/tests/passthrough_health.rs
+++ b/tests/passthrough_health.rs
@@ -93,7 +93,7 @@
         slots: SLOTS,
     };
     agent.gate.apply_report(report, 0);
-    agent.introduction.note_registered_balancers(IndexSet::new(), 0);
+    agent.introduction.note_registered_balancers(IndexSet::new());
     agent
 }
 
