--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -29,6 +29,7 @@
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
 use crate::process::passthrough::balancer_configuration::StoredItems;
+use crate::process::passthrough::balancer_entries;
 use crate::process::passthrough::balancer_forwarding;
 use crate::process::passthrough::balancer_peers;
 use crate::process::passthrough::balancer_peers::PendingChanges;
@@ -123,7 +124,8 @@
     let data_socket = bind(settings.node.data_address).await?;
     let control_socket = bind(settings.node.control_address).await?;
     let zone = &settings.node.availability_zone;
-    let state = BalancerState::new(zone, settings.node.control_address);
+    let mut state = BalancerState::new(zone, settings.node.control_address);
+    state.targets = state.targets.with_stop_time(settings.node.stop_ms);
     let peers = BalancerTable::new(settings.node.control_address, zone);
     let clock = BootTimeClock::new();
     let shared = Arc::new(Shared {
@@ -169,9 +171,9 @@
     tokio::spawn(balancer_peers::send_changes(Arc::clone(&shared)));
     tokio::spawn(run_timers(Arc::clone(&shared)));
     tokio::spawn(balancer_store::follow_operators(Arc::clone(&shared)));
-    tokio::spawn(balancer_store::follow_nodes(Arc::clone(&shared)));
-    tokio::spawn(balancer_store::restore_entries_in_each_era(Arc::clone(&shared)));
-    tokio::spawn(balancer_store::clean_entries_periodically(Arc::clone(&shared)));
+    tokio::spawn(balancer_entries::follow_nodes(Arc::clone(&shared)));
+    tokio::spawn(balancer_entries::restore_entries_in_each_era(Arc::clone(&shared)));
+    tokio::spawn(balancer_entries::clean_entries_periodically(Arc::clone(&shared)));
     tokio::spawn(balancer_store::catch_up_with_peers(Arc::clone(&shared)));
     let reloading = Arc::clone(&shared);
     tokio::spawn(async move { reloading.seeds.reload_on_signal().await });
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -10,6 +10,7 @@
 pub mod agent_state;
 pub mod balancer;
 mod balancer_configuration;
+mod balancer_entries;
 mod balancer_forwarding;
 mod balancer_peers;
 pub mod balancer_state;
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -94,8 +94,10 @@
 }
 
 /// The targets known to a balancer, by the data addresses of their agents.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetTable {
+    /// Time for which a stopping agent is expected back.
+    restart_grace_ms: u64,
     targets: IndexMap<SocketAddrV4, TargetEntry>,
     zones_last_seen_ms: IndexMap<String, u64>,
     stall_grace_until_ms: u64,
@@ -104,10 +106,24 @@
     remote_probe_rotation: Rotation,
 }
 
+impl Default for TargetTable {
+    fn default() -> TargetTable {
+        TargetTable::new()
+    }
+}
+
 impl TargetTable {
     /// Creates an empty table.
     pub fn new() -> TargetTable {
-        TargetTable::default()
+        TargetTable {
+            restart_grace_ms: RESTART_GRACE_MS,
+            targets: IndexMap::new(),
+            zones_last_seen_ms: IndexMap::new(),
+            stall_grace_until_ms: 0,
+            update_rotation: Rotation::new(),
+            load_rotation: Rotation::new(),
+            remote_probe_rotation: Rotation::new(),
+        }
     }
 
     /// Adds an agent named by the store or by another balancer. Returns whether it was unknown.
@@ -193,7 +209,8 @@
             entry.recheck_since_ms.get_or_insert(now_ms);
         }
         entry.is_suspected = false;
-        entry.restart_deadline_ms = if status.is_stopping { now_ms + RESTART_GRACE_MS } else { 0 };
+        entry.restart_deadline_ms =
+            if status.is_stopping { now_ms + self.restart_grace_ms } else { 0 };
         entry.control = status.control;
         entry.zone.clone_from(&status.zone);
         let load = status.load();
--- a/src/version/target_table/liveness.rs
+++ b/src/version/target_table/liveness.rs
@@ -22,9 +22,12 @@
 /// agent is rechecked; it spans two rounds of probes.
 pub(super) const RECENTLY_SEEN_MS: u64 = 600;
 
-/// Time for which a stopping agent is expected back, in milliseconds: the platform's grace period of 6 s
-/// plus 2 s to start again.
-pub const RESTART_GRACE_MS: u64 = 8_000;
+/// Time for which a stopping agent is expected back unless the settings say otherwise, in milliseconds: 6 s
+/// to stop and [`START_AGAIN_MS`].
+pub const RESTART_GRACE_MS: u64 = 6_000 + START_AGAIN_MS;
+
+/// Time in which an agent that has stopped starts again, in milliseconds.
+const START_AGAIN_MS: u64 = 2_000;
 
 /// Time for which an agent without any status counts as starting, in milliseconds. Hosts start within
 /// 0.3 s of each other, and the agent is probed fifteen times in this period.
@@ -42,6 +45,11 @@
 }
 
 impl TargetTable {
+    /// Sets how long a stopping agent may take until its process ends, in milliseconds.
+    pub fn with_stop_time(self, stop_ms: u64) -> TargetTable {
+        TargetTable { restart_grace_ms: stop_ms + START_AGAIN_MS, ..self }
+    }
+
     /// Records when a balancer of a zone was last seen.
     pub fn note_zone_seen(&mut self, zone: &str, last_seen_ms: u64) {
         self.zones_last_seen_ms.insert(zone.to_owned(), last_seen_ms);
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -350,6 +350,15 @@
         }
         assert_eq!(balancer.targets.liveness(agent(22), RESTART_GRACE_MS), Some(Liveness::Awaited));
     };
+    a_stopping_agent_is_waited_for_as_long_as_the_settings_let_it_stop: {
+        let mut balancer = balancer();
+        balancer.targets = balancer.targets.with_stop_time(20_000);
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(stopping, 0, 0);
+        assert_eq!(balancer.targets.liveness(agent(22), 21_999), Some(Liveness::Awaited));
+        assert_eq!(balancer.targets.liveness(agent(22), 22_000), Some(Liveness::Silent));
+    };
     while_an_agent_stops_a_flow_is_searched_for_twice_and_no_more: {
         let mut balancer = balancer();
         let stopping =
