A relayed end of a target is checked after a second, not at once

Most agents have their target within a second. Until then such an agent stays in searches; one that is stopping does not.

--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -55,6 +55,8 @@
     offered_flows: u32,
     /// Whether the agent itself, not another balancer, has reported that its target has ended.
     is_end_direct: bool,
+    /// Time since when another balancer alone has reported that its target has ended.
+    end_relayed_ms: Option<u64>,
 }
 
 impl TargetEntry {
@@ -153,6 +155,7 @@
             recheck_since_ms: None,
             offered_flows: 0,
             is_end_direct: false,
+            end_relayed_ms: None,
         };
         self.targets.insert(data, entry);
         true
@@ -205,9 +208,8 @@
         if entry.unanswered_probe_ms.is_some_and(|probe_ms| probe_ms <= sent_ms) {
             entry.unanswered_probe_ms = None;
         }
-        if has_ended && !is_end_direct {
-            entry.recheck_since_ms.get_or_insert(now_ms);
-        }
+        let is_end_relayed = has_ended && !is_end_direct;
+        entry.end_relayed_ms = is_end_relayed.then(|| entry.end_relayed_ms.unwrap_or(now_ms));
         entry.is_suspected = false;
         entry.restart_deadline_ms =
             if status.is_stopping { now_ms + self.restart_grace_ms } else { 0 };
--- a/src/version/target_table/probes.rs
+++ b/src/version/target_table/probes.rs
@@ -11,6 +11,10 @@
 /// the largest deployment.
 const MAX_REMOTE_PROBES: usize = 64;
 
+/// Time for which the end of a target is known from other balancers alone, in milliseconds, after which this
+/// balancer probes the agent. Most agents without a target get one, or are gone, before.
+const RELAYED_END_CHECK_MS: u64 = 1_000;
+
 impl TargetTable {
     /// Schedules probes to all agents that were not seen recently, including those that other balancers
     /// monitor. Called when a search does not complete, which means that an agent on its chain is gone.
@@ -46,7 +50,10 @@
             let is_awaited = entry.last_seen_ms.is_none()
                 && now_ms.saturating_sub(entry.known_since_ms) < FIRST_CONTACT_TIMEOUT_MS;
             let is_outdated = !liveness::is_up_to_date(&self.zones_last_seen_ms, entry, now_ms);
-            let needs_recheck = entry.recheck_since_ms.is_some();
+            let needs_end_check = entry
+                .end_relayed_ms
+                .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= RELAYED_END_CHECK_MS);
+            let needs_recheck = entry.recheck_since_ms.is_some() || needs_end_check;
             if is_awaited
                 || (is_probe_round && (is_outdated || needs_recheck || entry.is_monitored))
             {
