--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -186,7 +186,10 @@
         let mut is_changed = entry.is_suspected;
         match &entry.status {
             Some(current) if !status.is_after(current) => {
-                entry.is_end_direct |= is_known_end && is_direct;
+                if is_known_end && is_direct {
+                    entry.is_end_direct = true;
+                    entry.end_relayed_ms = None;
+                }
                 return false;
             }
             Some(current) if current.incarnation == status.incarnation => {
