A balancer answers introductions of an agent at most every 10 ms

Cause: an agent that introduces itself answers each probe with its status, and a balancer probed for each status of such an agent: one exchange a round trip until the introduction ended. Introductions used to end before the phase said so; since an agent introduces itself once its target runs, they take the 0.06 s where some balancer is away.

--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -307,11 +307,13 @@
             let should_relay = self.peers().ranks_as_monitor_of(data, self.now_ms());
             self.handle_target_change(&status, false, should_relay);
         }
-        // A changed agent expects an answer, an introducing one the limits of its service. An agent whose
-        // status is outdated needs the later incarnation that is known here.
+        // A changed agent expects an answer, an introducing one a sign that its incarnation is known and the
+        // limits of its service. An agent whose status is outdated needs the later incarnation known here.
         let is_superseded =
             self.state().targets.status(data).is_some_and(|known| known.incarnation > incarnation);
-        if is_changed || is_superseded || phase == TargetPhase::Introducing {
+        let is_introduction_due = phase == TargetPhase::Introducing
+            && self.state().targets.take_introduction_probe(data, self.now_ms());
+        if is_changed || is_superseded || is_introduction_due {
             self.probe_agents(&[data]).await;
         }
     }
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -55,6 +55,8 @@
     offered_flows: u32,
     /// Whether the agent itself, not another balancer, has reported that its target has ended.
     is_end_direct: bool,
+    /// Time of the last probe in answer to an introduction.
+    introduction_probed_ms: Option<u64>,
     /// Time since when another balancer alone has reported that its target has ended.
     end_relayed_ms: Option<u64>,
 }
@@ -155,6 +157,7 @@
             recheck_since_ms: None,
             offered_flows: 0,
             is_end_direct: false,
+            introduction_probed_ms: None,
             end_relayed_ms: None,
         };
         self.targets.insert(data, entry);
--- a/src/version/target_table/probes.rs
+++ b/src/version/target_table/probes.rs
@@ -15,7 +15,25 @@
 /// balancer probes the agent. Most agents without a target get one, or are gone, before.
 const RELAYED_END_CHECK_MS: u64 = 1_000;
 
+/// Minimum time between two probes in answer to introductions of one agent, in milliseconds. The agent
+/// answers each probe with another introduction, and repeats those that got no probe every 15 ms.
+const INTRODUCTION_PROBE_INTERVAL_MS: u64 = 10;
+
 impl TargetTable {
+    /// Whether an agent that introduces itself is probed now; notes that it is.
+    pub fn take_introduction_probe(&mut self, data: SocketAddrV4, now_ms: u64) -> bool {
+        let Some(entry) = self.targets.get_mut(&data) else {
+            return false;
+        };
+        let is_due = entry.introduction_probed_ms.is_none_or(|probed_ms| {
+            now_ms.saturating_sub(probed_ms) >= INTRODUCTION_PROBE_INTERVAL_MS
+        });
+        if is_due {
+            entry.introduction_probed_ms = Some(now_ms);
+        }
+        is_due
+    }
+
     /// Schedules probes to all agents that were not seen recently, including those that other balancers
     /// monitor. Called when a search does not complete, which means that an agent on its chain is gone.
     pub fn recheck_all(&mut self, now_ms: u64) {
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -282,6 +282,12 @@
         balancer.targets.apply_status(next, 0, 1_303);
         assert!(asked(&mut balancer, 4).contains(&agent(22)));
     };
+    an_agent_that_introduces_itself_is_not_probed_for_each_answer: {
+        // Each probe is answered with another introduction, which would go on at the speed of the network.
+        let mut balancer = balancer();
+        let probes = (100..160).filter(|now_ms| balancer.targets.take_introduction_probe(agent(22), *now_ms));
+        assert_eq!(probes.collect::<Vec<u64>>(), [100, 110, 120, 130, 140, 150]);
+    };
     an_agent_that_stopped_after_its_target_ended_delays_no_reset: {
         let mut balancer = balancer();
         let ended = TargetStatus { sequence: 2, phase: TargetPhase::Ended, ..status_of(22, "b", "vypocet") };
