An agent takes no opening between a new target's report and its first status

Cause, found by reading: after the end of a target was told, the introduction counted as complete until the first status about the next target was sent. A balancer that had missed the end could offer a flow in between, and one that believed it would reset that flow. Test: the opening is refused, red before.

--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -322,7 +322,11 @@
     /// Begins or continues the introduction: the balancers to notify, or `None` if there is nothing to
     /// introduce while the target has ended, or the introduction is complete.
     pub fn balancers_to_notify(&mut self, now_ms: u64) -> Option<Vec<SocketAddrV4>> {
-        if self.is_target_lost(now_ms) || self.introduction.is_complete(now_ms) {
+        if self.is_target_lost(now_ms) {
+            return None;
+        }
+        self.introduction.restart_after_end(now_ms);
+        if self.introduction.is_complete(now_ms) {
             return None;
         }
         self.introduction.begin(now_ms);
--- a/src/version/introduction.rs
+++ b/src/version/introduction.rs
@@ -69,10 +69,10 @@
     }
 
     /// Starts over with a new incarnation if balancers were told that the target has ended, since a target
-    /// runs again. Returns whether it does.
-    pub fn restart_after_end(&mut self, now_ms: u64) -> bool {
+    /// runs again.
+    pub fn restart_after_end(&mut self, now_ms: u64) {
         if self.told_of_end.is_empty() {
-            return false;
+            return;
         }
         let told = std::mem::take(&mut self.told_of_end);
         if let Some(required) = &mut self.required {
@@ -83,7 +83,6 @@
         self.probed_by.clear();
         self.first_probe_ms = None;
         self.is_complete = false;
-        true
     }
 
     /// Records the balancers registered in the store, by control address, as read after the agent's own
@@ -111,8 +110,12 @@
         required.filter(|balancer| !self.probed_by.contains(*balancer)).copied().collect()
     }
 
-    /// Whether the agent may accept openings; once true, it stays true until the target has ended.
+    /// Whether the agent may accept openings; once true, it stays true until a balancer is told that the
+    /// target has ended.
     pub fn is_complete(&mut self, now_ms: u64) -> bool {
+        if !self.told_of_end.is_empty() {
+            return false;
+        }
         let has_passed = |since_ms: u64, limit_ms| now_ms.saturating_sub(since_ms) >= limit_ms;
         self.is_complete |= match &self.required {
             Some(required) => {
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -589,6 +589,9 @@
         agent.note_target_not_running();
         assert_eq!(agent.phase_to_report(&[told], 3), TargetPhase::Ended);
         agent.gate.apply_report(report("b", 9, 1), 1_000);
+        // A balancer that missed the end may offer a flow before the first status of the new target.
+        let refused = agent.handle_node_segment(&opening(2), header(&[], 0), 1_000);
+        assert_eq!(refusal_of(&refused), Some(RefusalReason::NotIntroduced));
         assert_eq!(agent.phase_to_report(&[told], 1_000), TargetPhase::Introducing);
         assert_eq!(agent.introduction.incarnation(), INCARNATION + 1);
         let knowing = |balancer| Probe { known_incarnation: INCARNATION + 1, ..probe_from(balancer) };
