--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -3,8 +3,21 @@
 #[macro_use]
 mod support;
 
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use futures_util::future::ready;
 use indexmap::IndexMap;
+use rhubarbthread::error::EXIT_CONFLICT;
+use rhubarbthread::error::EXIT_UNKNOWN;
+use rhubarbthread::process::publish;
+use rhubarbthread::process::store::Precondition;
+use rhubarbthread::process::store::Put;
+use rhubarbthread::process::store::Store;
 use rhubarbthread::process::store::StoreError;
+use rhubarbthread::process::store::StoreSnapshot;
+use rhubarbthread::process::store::TransactionOutcome;
+use rhubarbthread::process::store::Watch;
 use rhubarbthread::process::store_eras::StoreEras;
 use rhubarbthread::version::balancer_table::BalancerTable;
 use rhubarbthread::version::balancer_table::BalancerUpdate;
@@ -20,6 +33,73 @@
 
 const OUTDATED: Result<u64, StoreError> = Err(StoreError::EraChanged { may_have_run: true });
 
+/// A store that has returned from an older copy by the time of a write.
+struct RestoredStore {
+    eras: StoreEras,
+    may_have_run: bool,
+}
+
+impl RestoredStore {
+    fn era_changed<T: Send + 'static>(&self) -> BoxFuture<'_, Result<T, StoreError>> {
+        let may_have_run = self.may_have_run;
+        Box::pin(ready(Err(StoreError::EraChanged { may_have_run })))
+    }
+}
+
+impl Store for RestoredStore {
+    fn eras(&self) -> &StoreEras {
+        &self.eras
+    }
+
+    fn range<'a>(&'a self, _prefix: &'a str) -> BoxFuture<'a, Result<StoreSnapshot, StoreError>> {
+        Box::pin(ready(Ok(StoreSnapshot::default())))
+    }
+
+    fn transaction<'a>(
+        &'a self,
+        _conditions: &'a [Precondition],
+        _puts: &'a [Put],
+    ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>> {
+        self.era_changed()
+    }
+
+    fn remove<'a>(
+        &'a self,
+        _conditions: &'a [Precondition],
+        _key: &'a str,
+    ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>> {
+        self.era_changed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _prefix: &'a str,
+        _after: StorePosition,
+        _longest_wait: Duration,
+    ) -> BoxFuture<'a, Result<Box<dyn Watch>, StoreError>> {
+        self.era_changed()
+    }
+
+    fn grant_lease(&self, _ttl_s: u32) -> BoxFuture<'_, Result<i64, StoreError>> {
+        self.era_changed()
+    }
+
+    fn renew_lease(&self, _lease: i64) -> BoxFuture<'_, Result<bool, StoreError>> {
+        self.era_changed()
+    }
+}
+
+/// Exit code and message of taking a zone out while the store returns from an older copy.
+fn zone_out_during_return(may_have_run: bool) -> (i32, String) {
+    let store = RestoredStore { eras: StoreEras::new(), may_have_run };
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let runtime = runtime.expect("the runtime can be built");
+    let error = runtime
+        .block_on(publish::set_zone(&store, "zlin-c", true))
+        .expect_err("the store did not accept the change");
+    (error.exit_code(), error.to_string())
+}
+
 fn at(era: u64, revision: u64) -> StorePosition {
     StorePosition::new(era, revision)
 }
@@ -207,6 +287,16 @@
             assert_eq!(!peers.peers_ahead_of(own).is_empty(), is_ahead, "{change:?} {configuration_version}");
         }
     };
+    an_operator_hears_that_nothing_was_written_before_the_stores_return: {
+        let (code, message) = zone_out_during_return(false);
+        assert_eq!(code, EXIT_CONFLICT);
+        assert!(message.contains("older copy") && message.contains("nothing was written"), "{message}");
+    };
+    an_operator_hears_that_a_write_may_have_run_during_the_stores_return: {
+        let (code, message) = zone_out_during_return(true);
+        assert_eq!(code, EXIT_UNKNOWN);
+        assert!(message.contains("unknown whether"), "{message}");
+    };
     a_position_without_era_is_in_the_receivers: {
         let reported = ReportedPosition { era: None, revision: 5 };
         assert_eq!(reported.or_in_era(3), at(3, 5));
