--- a/src/process/passthrough/balancer_configuration.rs
+++ b/src/process/passthrough/balancer_configuration.rs
@@ -61,6 +61,8 @@
         snapshot: Vec<(String, Vec<u8>, StorePosition)>,
         position: StorePosition,
     ) {
+        // A configuration of the new era already counts for the position.
+        let era_before = self.state().routing.position().era;
         let decoder = &self.platform.operator_items;
         let mut marks = IndexMap::new();
         let mut items = IndexMap::new();
@@ -80,7 +82,6 @@
             }
             items.insert(key, (value, item_position));
         }
-        let era_before = self.state().routing.position().era;
         if position < self.state().routing.position() {
             return;
         }
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -444,11 +444,6 @@
         }
     }
 
-    /// Whether no other balancer is known.
-    pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
-    }
-
     /// Live balancers of the local zone with a lower address.
     pub fn rank_in_zone(&self, now_ms: u64) -> usize {
         let in_zone = self.live_peers(now_ms).filter(|(_, peer)| peer.zone == self.zone);
