--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -120,7 +120,7 @@
     /// Phase for a status to these balancers. A status after the end of a target has a new incarnation.
     pub fn phase_to_report(&mut self, balancers: &[SocketAddrV4], now_ms: u64) -> TargetPhase {
         if self.is_target_lost(now_ms) {
-            self.introduction.note_told_of_end(balancers);
+            self.introduction.note_end_reported_to(balancers);
         } else {
             self.introduction.restart_after_end(now_ms);
         }
--- a/src/process/passthrough/balancer_peers.rs
+++ b/src/process/passthrough/balancer_peers.rs
@@ -266,7 +266,7 @@
             change: message.newest_change.or_in_era(own_position.era),
             configuration_version: message.configuration_version,
         };
-        self.platform.store.eras().note_heard(in_force.change.era);
+        self.platform.store.eras().note_peer_report(in_force.change.era);
         let mut peers = self.peers();
         let mut newer_here: Vec<BalancerUpdate> = Vec::new();
         if peers.has_newer_stamp(&sender) {
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -100,12 +100,12 @@
 /// report makes the follower read the store once, and the answer shows which era it is in.
 struct EraChanges {
     known: watch::Receiver<u64>,
-    heard: watch::Receiver<u64>,
+    peer_reported: watch::Receiver<u64>,
 }
 
 impl EraChanges {
     fn new(eras: &StoreEras) -> EraChanges {
-        EraChanges { known: eras.subscribe(), heard: eras.subscribe_heard() }
+        EraChanges { known: eras.subscribe(), peer_reported: eras.subscribe_peer_reports() }
     }
 
     async fn wait_for_later_than(&mut self, era: u64) {
@@ -113,8 +113,8 @@
             // The senders live as long as the store, so that no wait fails.
             tokio::select! {
                 _ = self.known.changed() => {}
-                _ = self.heard.changed() => {
-                    if *self.heard.borrow() > era {
+                _ = self.peer_reported.changed() => {
+                    if *self.peer_reported.borrow() > era {
                         return;
                     }
                 }
--- a/src/process/store_eras.rs
+++ b/src/process/store_eras.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub struct StoreEras {
     known: watch::Sender<u64>,
-    heard: watch::Sender<u64>,
+    peer_reported: watch::Sender<u64>,
     was_invalid: AtomicBool,
     rises: AtomicU64,
     outdated_answers: AtomicU64,
@@ -52,7 +52,7 @@
     pub fn new() -> StoreEras {
         StoreEras {
             known: watch::Sender::new(0),
-            heard: watch::Sender::new(0),
+            peer_reported: watch::Sender::new(0),
             was_invalid: AtomicBool::new(false),
             rises: AtomicU64::new(0),
             outdated_answers: AtomicU64::new(0),
@@ -80,13 +80,13 @@
     }
 
     /// Receiver of the latest era that other nodes have reported.
-    pub fn subscribe_heard(&self) -> watch::Receiver<u64> {
-        self.heard.subscribe()
+    pub fn subscribe_peer_reports(&self) -> watch::Receiver<u64> {
+        self.peer_reported.subscribe()
     }
 
     /// Notes an era that another node reports. It only makes followers ask the store.
-    pub fn note_heard(&self, era: u64) {
-        raise(&self.heard, era);
+    pub fn note_peer_report(&self, era: u64) {
+        raise(&self.peer_reported, era);
     }
 
     /// Notes an answer to a call that was made when `known_at_call` was the known era, and returns the era
--- a/src/version/introduction.rs
+++ b/src/version/introduction.rs
@@ -4,9 +4,9 @@
 //! not open at an agent that some balancer does not know yet. The agent writes its store entry before it
 //! reads which balancers are registered; balancers that register later read that entry.
 //!
-//! Searches leave out an agent that has itself told the balancer that its target has ended. When another
-//! target starts there, the agent takes a new incarnation and introduces itself again, to all that it has
-//! told of the end.
+//! Searches leave out an agent that has itself reported to the balancer that its target has ended. When
+//! another target starts there, the agent takes a new incarnation and introduces itself again, to all
+//! balancers that it has notified of the end.
 
 use std::net::SocketAddrV4;
 
@@ -34,8 +34,8 @@
     notified_since_ms: Option<u64>,
     probed_by: IndexSet<SocketAddrV4>,
     first_probe_ms: Option<u64>,
-    /// Balancers that the agent has told that its target has ended.
-    told_of_end: IndexSet<SocketAddrV4>,
+    /// Balancers that the agent has notified that its target has ended.
+    notified_of_end: IndexSet<SocketAddrV4>,
     is_complete: bool,
 }
 
@@ -48,7 +48,7 @@
             notified_since_ms: None,
             probed_by: IndexSet::new(),
             first_probe_ms: None,
-            told_of_end: IndexSet::new(),
+            notified_of_end: IndexSet::new(),
             is_complete: false,
         }
     }
@@ -63,20 +63,20 @@
         self.incarnation = self.incarnation.max(incarnation);
     }
 
-    /// Records that these balancers are told that the target has ended.
-    pub fn note_told_of_end(&mut self, balancers: &[SocketAddrV4]) {
-        self.told_of_end.extend(balancers);
+    /// Records that these balancers are notified that the target has ended.
+    pub fn note_end_reported_to(&mut self, balancers: &[SocketAddrV4]) {
+        self.notified_of_end.extend(balancers);
     }
 
-    /// Starts over with a new incarnation if balancers were told that the target has ended, since a target
+    /// Starts over with a new incarnation if balancers were notified that the target has ended, since a target
     /// runs again.
     pub fn restart_after_end(&mut self, now_ms: u64) {
-        if self.told_of_end.is_empty() {
+        if self.notified_of_end.is_empty() {
             return;
         }
-        let told = std::mem::take(&mut self.told_of_end);
+        let notified = std::mem::take(&mut self.notified_of_end);
         if let Some(required) = &mut self.required {
-            required.extend(told);
+            required.extend(notified);
         }
         self.notified_since_ms = Some(now_ms);
         self.incarnation += 1;
@@ -110,10 +110,10 @@
         required.filter(|balancer| !self.probed_by.contains(*balancer)).copied().collect()
     }
 
-    /// Whether the agent may accept openings; once true, it stays true until a balancer is told that the
+    /// Whether the agent may accept openings; once true, it stays true until a balancer is notified that the
     /// target has ended.
     pub fn is_complete(&mut self, now_ms: u64) -> bool {
-        if !self.told_of_end.is_empty() {
+        if !self.notified_of_end.is_empty() {
             return false;
         }
         let has_passed = |since_ms: u64, limit_ms| now_ms.saturating_sub(since_ms) >= limit_ms;
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -80,7 +80,7 @@
 
     /// Whether the target may hold flows: it has not ended, as far as is known, or that was only relayed and
     /// the agent is alive. Before flows open at a target that starts after one has ended, the agent
-    /// introduces itself again to the balancers that it has told of the end itself.
+    /// introduces itself again to the balancers that it has notified of the end itself.
     fn may_hold_flows(&self, liveness: Liveness) -> bool {
         !self.has_ended() || (liveness == Liveness::Alive && !self.is_end_direct)
     }
--- a/tests/models_introduction.rs
+++ b/tests/models_introduction.rs
@@ -66,7 +66,7 @@
     /// Balancers whose answer has reached the agent.
     answered: [bool; BALANCERS],
     /// Balancers that the agent has told that its target has ended.
-    told_of_end: [bool; BALANCERS],
+    notified_of_end: [bool; BALANCERS],
     /// Balancers whose time to answer has expired while they were not running or had the notification in
     /// their queue.
     timed_out: [bool; BALANCERS],
@@ -79,13 +79,13 @@
     fn in_order(mut self) -> State {
         let key = |state: &State, index: usize| {
             let read = matches!(state.agent, Agent::BalancersRead(registered) if registered[index]);
-            let agent = (read, state.answered[index], state.told_of_end[index]);
+            let agent = (read, state.answered[index], state.notified_of_end[index]);
             (state.balancers[index], agent, state.timed_out[index])
         };
         if key(&self, 0) > key(&self, 1) {
             self.balancers.swap(0, 1);
             self.answered.swap(0, 1);
-            self.told_of_end.swap(0, 1);
+            self.notified_of_end.swap(0, 1);
             self.timed_out.swap(0, 1);
             if let Agent::BalancersRead(registered) = &mut self.agent {
                 registered.swap(0, 1);
@@ -147,8 +147,10 @@
 
     /// Whether the agent introduces itself to a balancer.
     fn is_required(&self, state: &State, index: usize) -> bool {
-        let is_told = self.introduces_again && state.run == Run::Second && state.told_of_end[index];
-        is_told || matches!(state.agent, Agent::BalancersRead(registered) if registered[index])
+        let is_notified_of_end =
+            self.introduces_again && state.run == Run::Second && state.notified_of_end[index];
+        is_notified_of_end
+            || matches!(state.agent, Agent::BalancersRead(registered) if registered[index])
     }
 
     fn agent_steps(&self, state: &State, out: &mut Vec<State>) {
@@ -193,7 +195,7 @@
         if is_required || (balancer.is_running && balancer.knows_agent) {
             push(&|next| {
                 next.balancers[index].notified = Some(next.run);
-                next.told_of_end[index] |= next.run == Run::Ended;
+                next.notified_of_end[index] |= next.run == Run::Ended;
             });
         }
         let is_excused = !balancer.is_running || balancer.queued == Some(state.run);
@@ -227,8 +229,8 @@
             });
         }
         let other = state.balancers[1 - index];
-        let tells_of_end = !self.only_direct_ends_count && other.known_run == Some(Run::Ended);
-        if balancer.is_running && tells_of_end && balancer.known_run < Some(Run::Ended) {
+        let relays_end = !self.only_direct_ends_count && other.known_run == Some(Run::Ended);
+        if balancer.is_running && relays_end && balancer.known_run < Some(Run::Ended) {
             push(&|next| {
                 next.balancers[index].knows_agent = true;
                 next.balancers[index].known_run = Some(Run::Ended);
@@ -294,7 +296,7 @@
             run: Run::First,
             balancers: [Balancer { crashes_left: 1, ..Balancer::default() }; BALANCERS],
             answered: [false; BALANCERS],
-            told_of_end: [false; BALANCERS],
+            notified_of_end: [false; BALANCERS],
             timed_out: [false; BALANCERS],
             is_open: false,
             was_reset: false,
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -179,9 +179,9 @@
     };
     an_era_that_another_node_reports_is_not_taken_for_the_stores: {
         let eras = in_era_2();
-        let heard = eras.subscribe_heard();
-        eras.note_heard(9);
-        assert!(heard.has_changed().expect("the record is alive"));
+        let reports = eras.subscribe_peer_reports();
+        eras.note_peer_report(9);
+        assert!(reports.has_changed().expect("the record is alive"));
         assert_eq!(eras.known(), 2);
     };
     an_evacuation_at_a_lower_revision_of_a_new_era_counts: {
