Observability: age of the store's last answer, cut watches, configurations that are not applied

The logs of the incident could not tell its hypotheses apart: the first watch without an answer was not logged, no figure said how old a balancer's view of the operators' items is, and a configuration that was read and ignored left no trace.

- 201 for each watch without an answer, also the first, which is retried at once.
- rhubarbthread_store_answer_age_ms, and store_answer_age_ms on the page of the nodes.
- 213: a configuration of another version than the one in force was read and not applied.

No decision changes.

--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -89,6 +89,8 @@
     ZonesReleased = 211, Info, "zones follow the store again";
     /// Entries of running nodes were missing in the store and were written again.
     EntriesRestored = 212, Info, "missing node entries written to the store";
+    /// A configuration of another version than the one in force was read and not applied.
+    ConfigurationNotApplied = 213, Info, "configuration not applied, another one stays in force";
     /// Targets were declared lost.
     TargetLost = 300, Warn, "target declared lost";
     /// Balancers were declared lost.
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -105,6 +105,8 @@
     pub(super) probe_notify: Notify,
     /// Wakes the task that retries queued segments.
     pub(super) release_notify: Notify,
+    /// Time of the store's last answer to the follower of the operators' items, or of the start.
+    pub(super) store_answer_ms: AtomicU64,
     /// Time of the start, of the end of the last stall or of the store's return from an older copy.
     running_since_ms: AtomicU64,
     pub(super) has_read_nodes: AtomicBool,
@@ -129,6 +131,7 @@
     let peers = BalancerTable::new(settings.node.control_address, zone);
     let clock = BootTimeClock::new();
     let shared = Arc::new(Shared {
+        store_answer_ms: AtomicU64::new(clock.now_ms()),
         running_since_ms: AtomicU64::new(clock.now_ms()),
         clock,
         state: Mutex::new(state),
@@ -255,6 +258,11 @@
         self.update_knows_all_agents();
     }
 
+    /// Time since the store last answered the follower of the operators' items, in milliseconds.
+    pub(super) fn store_answer_age_ms(&self) -> u64 {
+        self.now_ms().saturating_sub(self.store_answer_ms.load(Ordering::Relaxed))
+    }
+
     /// Whether this process started, or resumed after a stall, less than [`DISCOVERY_TIMEOUT_MS`] ago.
     pub(super) fn is_recently_started(&self, now_ms: u64) -> bool {
         now_ms - self.running_since_ms.load(Ordering::Relaxed) < DISCOVERY_TIMEOUT_MS
@@ -346,6 +354,8 @@
             (state.flow_locations.len(), state.routing.held_zones().count())
         };
         self.metrics.set_eras(self.platform.store.eras());
+        let store_answer_age_ms = i64::try_from(self.store_answer_age_ms()).unwrap_or(i64::MAX);
+        self.metrics.store_answer_age_ms.set(store_answer_age_ms);
         self.metrics.zones_held.set(i64::try_from(held_zones).unwrap_or(i64::MAX));
         self.metrics.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.metrics.text()
--- a/src/process/passthrough/balancer_configuration.rs
+++ b/src/process/passthrough/balancer_configuration.rs
@@ -105,18 +105,23 @@
         position: StorePosition,
     ) {
         let (version, routes) = (configuration.version, configuration.routes.len());
-        let outcome = self.state().routing.apply_configuration(configuration, position);
+        let StorePosition { era, revision } = position;
+        let details = format!("era={era} revision={revision} version={version} routes={routes}");
+        let (outcome, in_force) = {
+            let routing = &mut self.state().routing;
+            let outcome = routing.apply_configuration(configuration, position);
+            (outcome, routing.configuration_version())
+        };
         if outcome == ApplyOutcome::Changed {
             {
                 let mut stored_items = self.stored_items();
                 stored_items.insert(key, value, position);
                 stored_items.configuration_key = Some(key.to_owned());
             }
-            let StorePosition { era, revision } = position;
-            let details =
-                format!("era={era} revision={revision} version={version} routes={routes}");
             log_event!(Event::ConfigurationChanged, "{details}");
             self.release_notify.notify_one();
+        } else if version != in_force {
+            log_event!(Event::ConfigurationNotApplied, "{details} in_force={in_force}");
         }
     }
 
@@ -203,6 +208,7 @@
             is_ready,
             store_era: state.routing.position().era,
             newest_change: state.routing.newest_change().revision,
+            store_answer_age_ms: self.store_answer_age_ms(),
             held_zones: state.routing.held_zones().map(str::to_owned).collect(),
             balancers,
             agents: state
--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::sleep;
@@ -24,13 +25,21 @@
 /// Applies the operators' items as the store reports them.
 struct OperatorItemsHandler(Arc<Shared>);
 
+impl OperatorItemsHandler {
+    fn note_answer(&self) {
+        self.0.store_answer_ms.store(self.0.now_ms(), Ordering::Relaxed);
+    }
+}
+
 impl WatchHandler for OperatorItemsHandler {
     fn handle_snapshot(&self, snapshot: &StoreSnapshot) {
+        self.note_answer();
         let item = |value: &StoreValue| (value.key.clone(), value.value.clone(), value.position);
         self.0.apply_snapshot(snapshot.values.iter().map(item).collect(), snapshot.position);
     }
 
     fn handle_changes(&self, changes: &[StoreChange]) {
+        self.note_answer();
         for change in changes {
             self.0.apply_change(change);
         }
--- a/src/process/passthrough/exchange.rs
+++ b/src/process/passthrough/exchange.rs
@@ -46,6 +46,9 @@
     pub store_era: u64,
     /// Revision of the newest configuration change that is in force at the balancer.
     pub newest_change: u64,
+    /// Time since the store last answered this balancer about the operators' items, in milliseconds.
+    #[serde(default)]
+    pub store_answer_age_ms: u64,
     /// Availability zones that are out since before the store returned from an older copy.
     #[serde(default)]
     pub held_zones: Vec<String>,
--- a/src/process/passthrough/follower.rs
+++ b/src/process/passthrough/follower.rs
@@ -90,7 +90,10 @@
                 }
             }
             // A single cut of a waiting watch is harmless: the watch resumes at its revision.
-            Err(StoreError::NoAnswer { .. }) if *failures == 0 => *failures += 1,
+            Err(error @ StoreError::NoAnswer { .. }) if *failures == 0 => {
+                handler.record_failure(&error);
+                *failures += 1;
+            }
             Err(error) => return Err(error),
         }
     }
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -48,6 +48,8 @@
     pub store_eras: Gauge,
     /// Answers of the store that were dropped because they were of an earlier era.
     pub store_outdated_answers: Gauge,
+    /// Time since the store last answered the follower of the operators' items, in milliseconds.
+    pub store_answer_age_ms: Gauge,
     /// Availability zones that are out since before the store's return.
     pub zones_held: Gauge,
     /// Entries of nodes that were missing in the store and were written again.
@@ -77,6 +79,7 @@
             store_failures: Family::default(),
             store_eras: Gauge::default(),
             store_outdated_answers: Gauge::default(),
+            store_answer_age_ms: Gauge::default(),
             zones_held: Gauge::default(),
             entries_restored: Counter::default(),
             hops: Histogram::new(HOP_BOUNDS),
@@ -111,6 +114,11 @@
             "Store answers of an earlier era, dropped",
             metrics.store_outdated_answers.clone(),
         );
+        registry.register(
+            "store_answer_age_ms",
+            "Milliseconds since the store last answered about the operators' items",
+            metrics.store_answer_age_ms.clone(),
+        );
         registry.register(
             "zones_held",
             "Zones out since before the store's return",
