The store's client gives up its open connections after a call without an answer

What callers saw: for up to five seconds more than the bound, requests on a route as it was before a confirmed change (CONFIG). Cause: open connections may go silent for good while new ones work. The client kept idle connections beside that of the watch. A watch without an answer cost its time-out, 2.9 s; the next call then took another open connection, as silent as the first, and cost its time-out too, and so on with each one that was left. The bound was sized for one dead connection. Change: process::http_client; after a time-out no connection that was open is used again, so that the next call opens a new one. Event 214 says so.

--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -91,6 +91,8 @@
     EntriesRestored = 212, Info, "missing node entries written to the store";
     /// A configuration of another version than the one in force was read and not applied.
     ConfigurationNotApplied = 213, Info, "configuration not applied, another one stays in force";
+    /// A call had no answer in time, so that the connections that are open are not used again.
+    ConnectionsReplaced = 214, Warn, "call without an answer, open connections given up";
     /// Targets were declared lost.
     TargetLost = 300, Warn, "target declared lost";
     /// Balancers were declared lost.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -18,6 +18,7 @@
 pub mod fault;
 pub mod flow_endpoint;
 pub mod forwarder;
+pub mod http_client;
 pub mod key_files;
 pub mod keys;
 pub mod log_output;
