A balancer fetches a peer's configuration over a new connection

The same cause as in the store's client: a kept connection to a peer may be silent, and the fetch, which stands in for the store, then waited 0.8 s in vain and went on to the next peer. Calls are rare, so no connection is kept. the_configuration_of_a_peer_is_fetched_though_the_last_connection_is_silent failed before (error sending request) and passes.

--- a/src/process/passthrough/exchange.rs
+++ b/src/process/passthrough/exchange.rs
@@ -87,9 +87,11 @@
     server.manage(source).mount("/exchange", routes![configuration, nodes])
 }
 
-/// Creates a client for calls to other balancers. It uses no proxy, as balancers are called by IP address.
+/// Creates a client for calls to other balancers. It uses no proxy, as balancers are called by IP address, and
+/// a connection for each call: calls are rare, and an idle connection may have gone silent.
 pub fn client() -> Client {
-    Client::builder().no_proxy().build().unwrap_or_default()
+    let client = Client::builder().no_proxy().pool_max_idle_per_host(0).build();
+    client.expect("building a client without TLS does not fail")
 }
 
 /// Fetches the configuration of another balancer.
