--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -246,7 +246,7 @@
         if self.past_instances.iter().any(is_past_instance) {
             return ReportOutcome::Stale;
         }
-        let cold_until_ms = now_ms + report.cold_remaining_ms;
+        let cold_until_ms = now_ms.saturating_add(report.cold_remaining_ms);
         let outcome = match &self.instance {
             None => ReportOutcome::NewLife,
             Some(instance) if is_same_instance(&instance.report, &report) => {
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -308,7 +308,7 @@
             let mut state = shared.state();
             // An earlier process had a clock that was ahead.
             if probe.known_incarnation > state.introduction.incarnation() {
-                state.introduction.raise_incarnation(probe.known_incarnation + 1);
+                state.introduction.raise_incarnation(probe.known_incarnation.saturating_add(1));
                 shared.status_changed.notify_one();
             }
             let old_phase = state.phase(now_ms);
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -9,6 +9,8 @@
 use crate::connection::flow_key::unpack_address;
 use crate::connection::target_gate::TargetLimits;
 use crate::connection::target_gate::TargetPhase;
+use crate::log_event;
+use crate::process::events::Event;
 use crate::version::balancer_table::BalancerUpdate;
 use crate::version::balancer_table::ZoneUpdate;
 use crate::version::store_position::ReportedPosition;
@@ -300,15 +302,26 @@
         configuration_version: gossip.configuration_version,
         stamp: gossip.stamp,
         zones: gossip.zones.into_iter().map(zone).collect(),
-        balancers: gossip.balancers.into_iter().map(balancer).collect::<Option<_>>()?,
-        targets: gossip.targets.into_iter().map(target).collect::<Option<_>>()?,
-        loads: gossip.loads.into_iter().map(load).collect::<Option<_>>()?,
+        balancers: decode_entries("balancers", gossip.balancers, balancer),
+        targets: decode_entries("targets", gossip.targets, target),
+        loads: decode_entries("loads", gossip.loads, load),
         is_stopping: gossip.stopping,
         requests_full_state: gossip.asks,
         will_send_next: gossip.follows,
     })
 }
 
+/// Decodes the entries of a list. Those that do not decode are skipped, so that they hide no other.
+fn decode_entries<W, T>(list: &str, entries: Vec<W>, decode: impl Fn(W) -> Option<T>) -> Vec<T> {
+    let entry_count = entries.len();
+    let decoded: Vec<T> = entries.into_iter().filter_map(decode).collect();
+    if decoded.len() < entry_count {
+        let skipped = entry_count - decoded.len();
+        log_event!(Event::CallFailed, "a peer sent invalid entries, skipped {skipped} of {list}");
+    }
+    decoded
+}
+
 fn age_to_wire(age_ms: u64) -> u32 {
     u32::try_from(age_ms).unwrap_or(u32::MAX)
 }
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -166,7 +166,7 @@
     /// Stamp of the next state: the wall-clock time in Unix milliseconds, or one more than the last stamp
     /// where the clock is not ahead of it.
     pub fn next_stamp(&mut self, wall_ms: u64) -> u64 {
-        self.own_stamp = wall_ms.max(self.own_stamp + 1);
+        self.own_stamp = wall_ms.max(self.own_stamp.saturating_add(1));
         self.own_stamp
     }
 
