Product's own path: a silent watch is noticed, an odd key hides no other

A reader now reads the store again after ten quiet seconds, opening a watch is given up after three, a watch has a connection of its own, and other calls give up the open connections after a time-out. - A key that is no UTF-8 failed the whole list and each message of a watch that held it. Cost: one range a reader and ten quiet seconds; three readers a zone.

--- a/src/process/etcd.rs
+++ b/src/process/etcd.rs
@@ -13,7 +13,11 @@
 use reqwest::Client;
 use serde_json::Value;
 use serde_json::json;
+use tokio::time::timeout;
 
+use crate::log_event;
+use crate::process::events::Event;
+use crate::process::http_client::HttpClient;
 use crate::process::store::Precondition;
 use crate::process::store::Put;
 use crate::process::store::Store;
@@ -38,7 +42,9 @@
 /// Client of one etcd cluster with several endpoints. etcd reports no era; `docs/DESIGN.md` says how an
 /// operator restores it so that revisions do not go back.
 pub struct EtcdStore {
-    client: Client,
+    client: HttpClient,
+    /// Client of the watches, each of which has a connection of its own.
+    watch_client: Client,
     endpoints: Vec<String>,
     eras: StoreEras,
 }
@@ -46,13 +52,13 @@
 impl EtcdStore {
     /// Creates a client. It connects with the first call.
     pub fn new(endpoints: &[String]) -> EtcdStore {
-        let client = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .build()
-            .expect("a client with only a connection time-out is valid");
+        let client = HttpClient::new(|builder| builder.connect_timeout(CONNECT_TIMEOUT));
+        let watch_client = Client::builder().connect_timeout(CONNECT_TIMEOUT);
+        let watch_client = watch_client.pool_max_idle_per_host(0).no_proxy().build();
+        let watch_client = watch_client.expect("building a client without TLS does not fail");
         let trim = |endpoint: &String| endpoint.trim_end_matches('/').to_owned();
         let endpoints = endpoints.iter().map(trim).collect();
-        EtcdStore { client, endpoints, eras: StoreEras::new() }
+        EtcdStore { client, watch_client, endpoints, eras: StoreEras::new() }
     }
 
     /// Calls the endpoints in turn until one can be reached. Once a call was sent, no other endpoint is tried,
@@ -76,8 +82,9 @@
         path: &str,
         body: &Value,
     ) -> Result<Value, StoreError> {
-        let request = self.client.post(format!("{endpoint}{path}")).json(body);
-        let response = request.timeout(CALL_TIMEOUT).send().await.map_err(classify_send_error)?;
+        let url = format!("{endpoint}{path}");
+        let request = |client: &Client| client.post(url).json(body).timeout(CALL_TIMEOUT);
+        let response = self.client.send(request).await.map_err(classify_send_error)?;
         let status = response.status();
         if status.is_server_error() {
             return Err(StoreError::NoAnswer { message: status.to_string() });
@@ -85,7 +92,8 @@
         if !status.is_success() {
             return Err(StoreError::Refused { message: status.to_string() });
         }
-        response.json().await.map_err(|error| StoreError::NoAnswer { message: error.to_string() })
+        serde_json::from_slice(response.body())
+            .map_err(|error| StoreError::NoAnswer { message: error.to_string() })
     }
 
     async fn commit(
@@ -112,8 +120,12 @@
             message: "the setting `store_endpoints` is empty".to_owned(),
         };
         for endpoint in &self.endpoints {
-            let request = self.client.post(format!("{endpoint}/v3/watch")).json(&body);
-            match request.send().await.map_err(classify_send_error) {
+            let request = self.watch_client.post(format!("{endpoint}/v3/watch")).json(&body);
+            let response = match timeout(CALL_TIMEOUT, request.send()).await {
+                Ok(response) => response.map_err(classify_send_error),
+                Err(_) => Err(StoreError::NoAnswer { message: "no answer in time".to_owned() }),
+            };
+            match response {
                 Ok(response) if response.status().is_success() => {
                     let stream = response.bytes_stream().boxed();
                     return Ok(Box::new(EtcdWatch { stream, buffer: Vec::new() }));
@@ -141,7 +153,7 @@
             });
             let response = self.call("/v3/kv/range", &body).await?;
             let kvs = response["kvs"].as_array().map_or(&[][..], Vec::as_slice);
-            let values = kvs.iter().map(parse_key_value).collect::<Result<_, _>>()?;
+            let values = kvs.iter().filter_map(|kv| skip_invalid(parse_key_value(kv))).collect();
             let position = parse_position(&response["header"]["revision"])?;
             Ok(StoreSnapshot { position, values })
         })
@@ -235,7 +247,7 @@
                 return Err(StoreError::Compacted);
             }
             let events = result["events"].as_array().map_or(&[][..], Vec::as_slice);
-            events.iter().map(parse_event).collect()
+            Ok(events.iter().filter_map(|event| skip_invalid(parse_event(event))).collect())
         })
     }
 }
@@ -279,6 +291,11 @@
     }})
 }
 
+/// Logs and skips an entry that does not parse, so that it hides no other.
+fn skip_invalid<T>(parsed: Result<T, StoreError>) -> Option<T> {
+    parsed.inspect_err(|error| log_event!(Event::StoreValueInvalid, "{error}")).ok()
+}
+
 fn parse_event(event: &Value) -> Result<StoreChange, StoreError> {
     let value = parse_key_value(&event["kv"])?;
     if event["type"].as_str() == Some("DELETE") {
--- a/src/process/store_reader.rs
+++ b/src/process/store_reader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -21,6 +22,7 @@
 use crate::process::store::StoreChange;
 use crate::process::store::StoreError;
 use crate::process::store::StoreValue;
+use crate::process::store::Watch;
 use crate::version::record::Record;
 
 /// Number of balancers in each availability zone that watch the store.
@@ -32,6 +34,10 @@
 /// Longest wait for changes before a reader checks again whether it is still a reader.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// Time without a change after which a reader reads the store again: a silent connection is noticed within it. Ten
+/// readers then call the store once a second.
+pub const QUIET_LIMIT: Duration = Duration::from_secs(10);
+
 /// Shortest and longest backoff after a failure, in milliseconds.
 const BACKOFF_MS: (u64, u64) = (250, 8_000);
 
@@ -54,12 +60,12 @@
 /// Token bucket that limits how often this balancer reads the configuration from the store.
 struct ReadRateLimiter {
     tokens: u32,
-    refilled_at: tokio::time::Instant,
+    refilled_at: Instant,
 }
 
 impl ReadRateLimiter {
     fn new() -> ReadRateLimiter {
-        ReadRateLimiter { tokens: READ_BURST, refilled_at: tokio::time::Instant::now() }
+        ReadRateLimiter { tokens: READ_BURST, refilled_at: Instant::now() }
     }
 
     async fn acquire(&mut self) {
@@ -67,7 +73,7 @@
             let periods = self.refilled_at.elapsed().as_millis() / TOKEN_INTERVAL.as_millis();
             if periods > 0 {
                 self.tokens = READ_BURST.min(self.tokens.saturating_add(periods as u32));
-                self.refilled_at = tokio::time::Instant::now();
+                self.refilled_at = Instant::now();
             }
             if self.tokens > 0 {
                 self.tokens -= 1;
@@ -144,11 +150,27 @@
     read_contacts(shared, store).await?;
     shared.metrics().store_calls.inc();
     let mut watch = store.watch(CONFIGURATION_PREFIX, snapshot.position, MAX_WATCH_WAIT).await?;
-    while shared.with_gossip(|gossip| gossip.is_store_reader(READERS_PER_ZONE)) {
+    let is_reader = || shared.with_gossip(|gossip| gossip.is_store_reader(READERS_PER_ZONE));
+    let apply = |changes: Vec<StoreChange>| {
+        let values: Vec<StoreValue> = changes.into_iter().filter_map(written_value).collect();
+        merge_values(shared, &values, false);
+        shared.note_store_response();
+    };
+    follow_until_quiet(watch.as_mut(), is_reader, apply).await
+}
+
+/// Passes the changes of a watch on while `is_reader` says so, until there has been none for
+/// [`QUIET_LIMIT`]: the connection may have gone silent, so that the store has to be read again.
+pub async fn follow_until_quiet(
+    watch: &mut dyn Watch,
+    is_reader: impl Fn() -> bool,
+    apply: impl Fn(Vec<StoreChange>),
+) -> Result<(), StoreError> {
+    let mut last_change = Instant::now();
+    while is_reader() && last_change.elapsed() < QUIET_LIMIT {
         if let Ok(changes) = timeout(MAX_WATCH_WAIT, watch.next()).await {
-            let values: Vec<StoreValue> = changes?.into_iter().filter_map(written_value).collect();
-            merge_values(shared, &values, false);
-            shared.note_store_response();
+            apply(changes?);
+            last_change = Instant::now();
         }
     }
     Ok(())
