A balancer that is behind asks live peers before those that are down

One that died just after the change, or several, cost 0.8 s each before a live one was asked. a_peer_that_is_down_is_asked_after_the_others failed before.

--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -416,14 +416,17 @@
     }
 
     /// Exchange addresses of the balancers at which a later change or a newer version of the configuration
-    /// is in force than here, except those whose configuration has been fetched since that change.
+    /// is in force than here, except those whose configuration has been fetched since that change. Balancers
+    /// that are down come last, as a call to them may wait for its time-out.
     pub fn peers_ahead_of(&self, own: InForce) -> Vec<SocketAddrV4> {
         let is_ahead = |peer: &&Peer| {
             let is_later = peer.in_force.change > own.change
                 || peer.in_force.configuration_version > own.configuration_version;
             is_later && peer.fetched != Some(peer.in_force)
         };
-        self.peers.values().filter(is_ahead).map(|peer| peer.exchange).collect()
+        let mut ahead: Vec<&Peer> = self.peers.values().filter(is_ahead).collect();
+        ahead.sort_by_key(|peer| peer.is_down);
+        ahead.into_iter().map(|peer| peer.exchange).collect()
     }
 
     /// Records that the configuration of the balancer with this exchange address has been fetched.
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -328,6 +328,14 @@
         assert_eq!(routing.apply_zone("brno-a", true, at(2, 61)), ApplyOutcome::Changed);
         assert_eq!(routing.apply_configuration(configuration(9), at(2, 62)), ApplyOutcome::Changed);
     };
+    a_peer_that_is_down_is_asked_after_the_others: {
+        let mut peers = BalancerTable::new(address(1, 7720), "a");
+        let ahead = InForce { change: at(2, 100), configuration_version: 7 };
+        peers.apply_direct_update(&BalancerUpdate { is_down: true, ..peer_update() }, ahead, 0);
+        let live = BalancerUpdate { control: address(3, 7720), exchange: address(3, 8166), ..peer_update() };
+        peers.apply_direct_update(&live, ahead, 0);
+        assert_eq!(peers.peers_ahead_of(InForce::default()), [address(3, 8166), address(2, 8166)]);
+    };
     a_configuration_without_news_is_fetched_once_from_a_peer: {
         let mut peers = BalancerTable::new(address(1, 7720), "a");
         let ahead = InForce { change: at(2, 100), configuration_version: 7 };
