--- a/src/process/passthrough/balancer_store.rs
+++ b/src/process/passthrough/balancer_store.rs
@@ -99,7 +99,7 @@
         if may_wait && now_ms.saturating_sub(since_ms) < CATCH_UP_DELAY_MS {
             continue;
         }
-        for exchange_address in catch_up_sources(&shared, own, is_configured) {
+        for (exchange_address, in_force) in catch_up_sources(&shared, own, is_configured) {
             match exchange::fetch(&client, exchange_address, own.change.era).await {
                 Ok(snapshot) => {
                     let StorePosition { era, revision } = snapshot.position;
@@ -108,7 +108,7 @@
                         "from={exchange_address} era={era} revision={revision}"
                     );
                     shared.apply_snapshot(&snapshot);
-                    shared.peers().note_fetched_from(exchange_address);
+                    shared.peers().note_fetched(exchange_address, in_force);
                     let routing = &shared.state().routing;
                     if routing.position() > own.change
                         || routing.configuration_version() > own.configuration_version
@@ -123,12 +123,17 @@
 }
 
 /// Exchange addresses of balancers with a newer configuration, and those of the seeds while this balancer
-/// has none.
-fn catch_up_sources(shared: &Shared, own: InForce, is_configured: bool) -> Vec<SocketAddrV4> {
+/// has none, with what is known to be in force there.
+fn catch_up_sources(
+    shared: &Shared,
+    own: InForce,
+    is_configured: bool,
+) -> Vec<(SocketAddrV4, InForce)> {
     let mut sources = shared.peers().peers_ahead_of(own);
     if !is_configured {
         let own = shared.settings.exchange_address;
-        sources.extend(shared.seeds.current().into_iter().filter(|seed| *seed != own));
+        let seeds = shared.seeds.current().into_iter().filter(|seed| *seed != own);
+        sources.extend(seeds.map(|seed| (seed, InForce::default())));
     }
     sources
 }
--- a/src/version/balancer_table.rs
+++ b/src/version/balancer_table.rs
@@ -113,7 +113,7 @@
     exchange: SocketAddrV4,
     zone: String,
     in_force: InForce,
-    /// What was in force there at the last fetch of its configuration.
+    /// What was known to be in force there when its configuration was last fetched.
     fetched: Option<InForce>,
     stamp: u64,
     is_down: bool,
@@ -416,9 +416,9 @@
     }
 
     /// Exchange addresses of the balancers at which a later change or a newer version of the configuration
-    /// is in force than here, except those whose configuration has been fetched since that change. Balancers
+    /// is in force than here, with what is in force there, except those whose configuration has been fetched since that change. Balancers
     /// that are down come last, as a call to them may wait for its time-out.
-    pub fn peers_ahead_of(&self, own: InForce) -> Vec<SocketAddrV4> {
+    pub fn peers_ahead_of(&self, own: InForce) -> Vec<(SocketAddrV4, InForce)> {
         let is_ahead = |peer: &&Peer| {
             let is_later = peer.in_force.change > own.change
                 || peer.in_force.configuration_version > own.configuration_version;
@@ -426,13 +426,14 @@
         };
         let mut ahead: Vec<&Peer> = self.peers.values().filter(is_ahead).collect();
         ahead.sort_by_key(|peer| peer.is_down);
-        ahead.into_iter().map(|peer| peer.exchange).collect()
+        ahead.into_iter().map(|peer| (peer.exchange, peer.in_force)).collect()
     }
 
-    /// Records that the configuration of the balancer with this exchange address has been fetched.
-    pub fn note_fetched_from(&mut self, exchange: SocketAddrV4) {
+    /// Records that the configuration of the balancer with this exchange address has been fetched. `in_force`
+    /// is what was known to be in force there when the call began: the answer may lack later changes.
+    pub fn note_fetched(&mut self, exchange: SocketAddrV4, in_force: InForce) {
         for peer in self.peers.values_mut().filter(|peer| peer.exchange == exchange) {
-            peer.fetched = Some(peer.in_force);
+            peer.fetched = Some(in_force);
         }
     }
 
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -334,18 +334,29 @@
         peers.apply_direct_update(&BalancerUpdate { is_down: true, ..peer_update() }, ahead, 0);
         let live = BalancerUpdate { control: address(3, 7720), exchange: address(3, 8166), ..peer_update() };
         peers.apply_direct_update(&live, ahead, 0);
-        assert_eq!(peers.peers_ahead_of(InForce::default()), [address(3, 8166), address(2, 8166)]);
+        let asked = [(address(3, 8166), ahead), (address(2, 8166), ahead)];
+        assert_eq!(peers.peers_ahead_of(InForce::default()), asked);
     };
     a_configuration_without_news_is_fetched_once_from_a_peer: {
         let mut peers = BalancerTable::new(address(1, 7720), "a");
         let ahead = InForce { change: at(2, 100), configuration_version: 7 };
         let own = InForce { change: at(2, 60), configuration_version: 7 };
         peers.apply_direct_update(&peer_update(), ahead, 0);
-        assert_eq!(peers.peers_ahead_of(own), [address(2, 8166)]);
-        peers.note_fetched_from(address(2, 8166));
+        assert_eq!(peers.peers_ahead_of(own), [(address(2, 8166), ahead)]);
+        peers.note_fetched(address(2, 8166), ahead);
         assert!(peers.peers_ahead_of(own).is_empty());
-        peers.apply_direct_update(&peer_update(), InForce { change: at(2, 101), ..ahead }, 1);
-        assert_eq!(peers.peers_ahead_of(own), [address(2, 8166)]);
+        let later = InForce { change: at(2, 101), ..ahead };
+        peers.apply_direct_update(&peer_update(), later, 1);
+        assert_eq!(peers.peers_ahead_of(own), [(address(2, 8166), later)]);
+    };
+    a_change_that_is_reported_during_a_fetch_is_fetched: {
+        let mut peers = BalancerTable::new(address(1, 7720), "a");
+        let before = InForce { change: at(2, 100), configuration_version: 8 };
+        let after = InForce { change: at(2, 101), configuration_version: 9 };
+        peers.apply_direct_update(&peer_update(), before, 0);
+        peers.apply_direct_update(&peer_update(), after, 1);
+        peers.note_fetched(address(2, 8166), before);
+        assert_eq!(peers.peers_ahead_of(before), [(address(2, 8166), after)]);
     };
     a_position_without_era_is_in_the_receivers: {
         let reported = ReportedPosition { era: None, revision: 5 };
