A store whose eras begin at 0 has returned when it reports 1

Followers and positions were right. a_return_of_a_store_that_began_in_era_0_is_counted failed before. A return during the restoring of entries is handled after it, not taken for the one before.

--- a/src/process/passthrough/balancer_entries.rs
+++ b/src/process/passthrough/balancer_entries.rs
@@ -72,13 +72,15 @@
 /// lacks them. Agents do not watch the store, and one write each would exceed its rate in the largest
 /// deployment; this takes one write for 32 of them.
 pub(super) async fn restore_entries_in_each_era(shared: Arc<Shared>) {
-    let mut eras = shared.platform.store.eras().subscribe();
+    let store_eras = shared.platform.store.eras();
+    let mut eras = store_eras.subscribe();
+    let mut handled_rises = store_eras.rises();
     loop {
-        let before = *eras.borrow_and_update();
         // The sender lives as long as the store.
         let _ = eras.changed().await;
+        let rises_before = std::mem::replace(&mut handled_rises, store_eras.rises());
         let rank = shared.peers().rank_in_zone(shared.now_ms());
-        if before == 0 || rank >= RESTORERS_PER_ZONE {
+        if handled_rises == rises_before || rank >= RESTORERS_PER_ZONE {
             continue;
         }
         sleep(RESTORE_DELAY + RESTORE_INTERVAL * u32::try_from(rank).unwrap_or(0)).await;
--- a/src/process/store_eras.rs
+++ b/src/process/store_eras.rs
@@ -53,6 +53,8 @@
 pub struct StoreEras {
     known: watch::Sender<u64>,
     peer_reported: watch::Sender<u64>,
+    /// Whether an answer has reported an era, which may be 0.
+    has_reported: AtomicBool,
     was_invalid: AtomicBool,
     rises: AtomicU64,
     outdated_answers: AtomicU64,
@@ -64,6 +66,7 @@
         StoreEras {
             known: watch::Sender::new(UNKNOWN_ERA),
             peer_reported: watch::Sender::new(0),
+            has_reported: AtomicBool::new(false),
             was_invalid: AtomicBool::new(false),
             rises: AtomicU64::new(0),
             outdated_answers: AtomicU64::new(0),
@@ -113,10 +116,13 @@
         let parsed = reported.and_then(|text| text.parse().ok());
         let known = self.known();
         match classify(parsed, known, known_at_call) {
-            AnswerEra::Known => self.was_invalid.store(false, Ordering::Relaxed),
+            AnswerEra::Known => {
+                self.was_invalid.store(false, Ordering::Relaxed);
+                self.has_reported.store(true, Ordering::Relaxed);
+            }
             AnswerEra::Risen(era) => {
                 self.was_invalid.store(false, Ordering::Relaxed);
-                if known != UNKNOWN_ERA {
+                if self.has_reported.swap(true, Ordering::Relaxed) {
                     self.rises.fetch_add(1, Ordering::Relaxed);
                     log_event!(Event::StoreEraChanged, "era={era} before={known}");
                 }
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -151,6 +151,12 @@
     the_first_era_is_no_return: {
         assert_eq!((in_era_2().known(), in_era_2().rises()), (2, 0));
     };
+    a_return_of_a_store_that_began_in_era_0_is_counted: {
+        let eras = StoreEras::new();
+        assert_eq!(answer(&eras, Some("0")), Ok(0));
+        assert_eq!(answer(&eras, Some("1")), Ok(1));
+        assert_eq!(eras.rises(), 1);
+    };
     a_rise_is_counted_and_known: {
         let eras = in_era_2();
         let changes = eras.subscribe();
