--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -1,4 +1,4 @@
-//! The product's own path: a watch whose connection is silent, and an odd entry in the store.
+//! The product's own path: a watch whose connection is silent, and an invalid entry in the store.
 
 #[macro_use]
 mod support;
@@ -48,7 +48,7 @@
     runtime.expect("the runtime can be built").block_on(test);
 }
 
-async fn range_with_odd_key() {
+async fn range_with_invalid_key() {
     let at = SocketAddrV4::new([127, 88, 0, 1].into(), STORE_PORT);
     tokio::spawn(StandinStore::new(1).serve(at));
     let store = client(at);
@@ -56,10 +56,10 @@
     while store.transaction(&[], &[put("k/a"), put("k/z")]).await.is_err() {
         sleep(Duration::from_millis(20)).await;
     }
-    let odd =
+    let invalid =
         json!({"request_put": {"key": STANDARD.encode(b"k/\xff"), "value": "", "lease": "0"}});
     let call = reqwest::Client::new().post(format!("http://{at}/v3/kv/txn"));
-    let answer = call.json(&json!({"compare": [], "success": [odd]})).send().await;
+    let answer = call.json(&json!({"compare": [], "success": [invalid]})).send().await;
     assert!(answer.expect("the store answers").status().is_success());
     let snapshot = store.range("k/").await.expect("the list is read");
     let keys: Vec<&str> = snapshot.values.iter().map(|value| value.key.as_str()).collect();
@@ -80,5 +80,5 @@
         let followed = follow_until_quiet(&mut watch, || true, |_| {});
         assert_eq!(timeout(QUIET_LIMIT * 2, followed).await, Ok(Ok(())));
     });
-    an_odd_key_hides_no_other: run(false, range_with_odd_key());
+    an_invalid_key_hides_no_other: run(false, range_with_invalid_key());
 }
