Observability: why a report was not applied, why a flow is not held, limited searches

Until now a report that was confirmed and ignored was an info line among the announcements, without a reason; an agent returned segments without saying why; and a search that was not begun again could not be told from one under way.

415 (warn) names the report, its instance and the reason; 416 says how an agent knows that its target does not hold a flow. Counters: target_reports, flows_not_held, searches_limited.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -54,8 +54,53 @@
     Changed,
     /// Changes nothing that balancers use.
     Same,
-    /// Ignored: older than the current report, or from an instance that has ended.
-    Stale,
+    /// Not applied.
+    Ignored(IgnoredReason),
+}
+
+impl ReportOutcome {
+    /// Label in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ReportOutcome::NewLife => "new-instance",
+            ReportOutcome::Changed => "changed",
+            ReportOutcome::Same => "same",
+            ReportOutcome::Ignored(reason) => reason.as_str(),
+        }
+    }
+}
+
+/// Why a report is not applied.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum IgnoredReason {
+    /// It is from an instance that another one has replaced.
+    PastInstance,
+    /// The current instance has already sent a later report.
+    EarlierSequence,
+    /// The current instance has ended.
+    HasEnded,
+    /// It names an earlier start than the current instance, which was seen recently.
+    EarlierStart,
+}
+
+impl IgnoredReason {
+    /// All reasons, for metrics and docs.
+    pub const ALL: [IgnoredReason; 4] = [
+        IgnoredReason::PastInstance,
+        IgnoredReason::EarlierSequence,
+        IgnoredReason::HasEnded,
+        IgnoredReason::EarlierStart,
+    ];
+
+    /// Label in metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            IgnoredReason::PastInstance => "past-instance",
+            IgnoredReason::EarlierSequence => "earlier-sequence",
+            IgnoredReason::HasEnded => "has-ended",
+            IgnoredReason::EarlierStart => "earlier-start",
+        }
+    }
 }
 
 /// Phase of the target as reported to balancers.
@@ -244,14 +289,17 @@
         let is_past_instance =
             |(id, started_ms): &(String, u64)| *id == report.id && *started_ms == report.started_ms;
         if self.past_instances.iter().any(is_past_instance) {
-            return ReportOutcome::Stale;
+            return ReportOutcome::Ignored(IgnoredReason::PastInstance);
         }
         let cold_until_ms = now_ms.saturating_add(report.cold_remaining_ms);
         let outcome = match &self.instance {
             None => ReportOutcome::NewLife,
             Some(instance) if is_same_instance(&instance.report, &report) => {
-                if report.sequence <= instance.report.sequence || instance.has_ended {
-                    return ReportOutcome::Stale;
+                if instance.has_ended {
+                    return ReportOutcome::Ignored(IgnoredReason::HasEnded);
+                }
+                if report.sequence <= instance.report.sequence {
+                    return ReportOutcome::Ignored(IgnoredReason::EarlierSequence);
                 }
                 let is_same = instance.report.is_leaving == report.is_leaving
                     && instance.report.service == report.service
@@ -266,7 +314,7 @@
                     && is_responsive
                     && !instance.has_ended
                 {
-                    return ReportOutcome::Stale;
+                    return ReportOutcome::Ignored(IgnoredReason::EarlierStart);
                 }
                 ReportOutcome::NewLife
             }
--- a/src/process/events.rs
+++ b/src/process/events.rs
@@ -131,6 +131,10 @@
     ReportMalformed = 413, Warn, "malformed report from the target";
     /// A segment was queued because no forwarding decision is possible yet.
     SegmentQueued = 414, Info, "segment waits";
+    /// A report of a target was not applied.
+    ReportIgnored = 415, Warn, "report of the target not applied";
+    /// A segment was passed on or returned because the target does not hold its flow.
+    FlowNotHeld = 416, Info, "flow not held by the target";
     /// The process did not run for longer than the stall threshold.
     ProcessStalled = 106, Warn, "process stalled";
     /// Receiving or sending on a forwarding socket failed.
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -29,6 +29,7 @@
 use crate::process::clock::generate_incarnation;
 use crate::process::daemon::run_single_threaded;
 use crate::process::events::Event;
+use crate::process::metrics::count;
 use crate::process::passthrough::Platform;
 use crate::process::passthrough::Readiness;
 use crate::process::passthrough::TARGETS_PREFIX;
@@ -265,10 +266,17 @@
             }
             outcome
         };
-        if outcome != ReportOutcome::Same {
-            log_event!(Event::TargetAnnounced, "{details} outcome={outcome:?}");
-            self.status_changed.notify_one();
-            self.introduction_due.notify_one();
+        count(&self.metrics.target_reports, outcome.as_str());
+        match outcome {
+            ReportOutcome::Same => {}
+            ReportOutcome::Ignored(reason) => {
+                log_event!(Event::ReportIgnored, "reason={} {details}", reason.as_str());
+            }
+            ReportOutcome::NewLife | ReportOutcome::Changed => {
+                log_event!(Event::TargetAnnounced, "{details} outcome={outcome:?}");
+                self.status_changed.notify_one();
+                self.introduction_due.notify_one();
+            }
         }
         outcome
     }
--- a/src/process/passthrough/agent_forwarding.rs
+++ b/src/process/passthrough/agent_forwarding.rs
@@ -8,12 +8,13 @@
 use crate::connection::flow_key::FlowKey;
 use crate::connection::segment::Segment;
 use crate::connection::segment::Sender;
-use crate::connection::target_gate::RefusalReason;
 use crate::log_event;
 use crate::process::events::Event;
 use crate::process::metrics::count;
 use crate::process::passthrough::agent::Shared;
 use crate::process::passthrough::agent_state::Action;
+use crate::process::passthrough::agent_state::NotHeldReason;
+use crate::process::passthrough::agent_state::ReturnCause;
 use crate::process::passthrough::datagrams::MAX_DATAGRAM_BYTES;
 use crate::process::passthrough::datagrams::receive;
 use crate::process::passthrough::datagrams::send;
@@ -32,13 +33,24 @@
         send(&self.control_socket, &found.encode(), balancer).await;
     }
 
-    /// Counts and logs an opening that the target was not offered. `next` is the agent that it goes to, if any.
-    fn record_refusal(&self, refusal: RefusalReason, flow: &FlowKey, next: Option<SocketAddrV4>) {
-        let reason = refusal.as_str();
-        count(&self.metrics.refused_openings, reason);
+    /// Counts and logs why a segment goes to `next`, or back to its balancer, and not to the target. Flows that
+    /// the agent has never seen are only counted: each search passes many such agents.
+    fn record_return(&self, cause: ReturnCause, flow: &FlowKey, next: Option<SocketAddrV4>) {
+        let (event, counter, reason) = match cause {
+            ReturnCause::Refused(refusal) => {
+                (Event::OpeningRefused, &self.metrics.refused_openings, refusal.as_str())
+            }
+            ReturnCause::NotHeld(reason) => {
+                (Event::FlowNotHeld, &self.metrics.flows_not_held, reason.as_str())
+            }
+        };
+        count(counter, reason);
+        if cause == ReturnCause::NotHeld(NotHeldReason::UnknownFlow) {
+            return;
+        }
         let next = next.map_or_else(|| "none".to_owned(), |next| next.to_string());
         let details = format!("caller={} route={} next={next}", flow.caller, flow.service);
-        log_event!(Event::OpeningRefused, "reason={reason} {details}");
+        log_event!(event, "reason={reason} {details}");
     }
 
     /// Carries out a decision. `out` is the reused buffer for a datagram to another agent.
@@ -70,19 +82,15 @@
                     self.notify_flow_found(flow, balancer).await;
                 }
             }
-            Action::ForwardToAgent(next, header, refusal) => {
+            Action::ForwardToAgent(next, header, cause) => {
                 count(&self.metrics.segments, "passed-on");
-                if let Some(refusal) = refusal {
-                    self.record_refusal(refusal, &flow, Some(next));
-                }
+                self.record_return(cause, &flow, Some(next));
                 self.platform.segment_codec.prepare(datagram, 0);
                 segment_header::encode(&header, datagram, out);
                 send(&self.data_socket, out, next).await;
             }
-            Action::ReturnToBalancer { balancer, search_id, saw_full_target, refusal } => {
-                if let Some(refusal) = refusal {
-                    self.record_refusal(refusal, &flow, None);
-                }
+            Action::ReturnToBalancer { balancer, search_id, saw_full_target, cause } => {
+                self.record_return(cause, &flow, None);
                 count(&self.metrics.segments, "given-back");
                 self.platform.segment_codec.prepare(datagram, 0);
                 let returned = NodeMessage::Returned(ReturnedSegment {
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -45,8 +45,8 @@
         /// Agents that the segment has passed, this one included.
         hops: u32,
     },
-    /// Send it to the next agent of the chain, with the reason if this target refused an opening.
-    ForwardToAgent(SocketAddrV4, SegmentHeader, Option<RefusalReason>),
+    /// Send it to the next agent of the chain.
+    ForwardToAgent(SocketAddrV4, SegmentHeader, ReturnCause),
     /// Send it to the caller.
     ForwardToCaller {
         /// Control address of the balancer to notify that this target holds the flow.
@@ -62,14 +62,60 @@
         search_id: u32,
         /// Whether a target of the chain was busy or full.
         saw_full_target: bool,
-        /// Why this target refused the opening.
-        refusal: Option<RefusalReason>,
+        /// Why this target does not take it.
+        cause: ReturnCause,
     },
     /// Drop it: its flow has ended, it cannot be returned to a balancer, or it is a reset of an unknown flow
     /// by a target that has not reported yet.
     Drop,
 }
 
+/// Why a segment goes to the next agent or back to the balancer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReturnCause {
+    /// The opening is refused.
+    Refused(RefusalReason),
+    /// The target does not hold the flow.
+    NotHeld(NotHeldReason),
+}
+
+/// How an agent knows that its target does not hold a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotHeldReason {
+    /// The target has bounced the segment.
+    Bounced,
+    /// The agent has seen all flows of the target, and this one is not among them.
+    UnknownFlow,
+    /// The flow was offered here and opened at another target.
+    OpenElsewhere,
+    /// No process of the target runs, or it has shut down.
+    TargetEnded,
+    /// The target was not seen for so long that its flows count as lost.
+    TargetSilent,
+}
+
+impl NotHeldReason {
+    /// All reasons, for metrics and docs.
+    pub const ALL: [NotHeldReason; 5] = [
+        NotHeldReason::Bounced,
+        NotHeldReason::UnknownFlow,
+        NotHeldReason::OpenElsewhere,
+        NotHeldReason::TargetEnded,
+        NotHeldReason::TargetSilent,
+    ];
+
+    /// Label in metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NotHeldReason::Bounced => "bounced",
+            NotHeldReason::UnknownFlow => "unknown-flow",
+            NotHeldReason::OpenElsewhere => "open-elsewhere",
+            NotHeldReason::TargetEnded => "target-ended",
+            NotHeldReason::TargetSilent => "target-lost",
+        }
+    }
+}
+
 /// A segment that the target may still bounce.
 #[derive(Clone, Debug)]
 struct PendingSegment {
@@ -172,10 +218,13 @@
         if self.flows.is_open_elsewhere(segment) {
             self.flows.remove(&segment.flow);
             self.balancers_to_notify.swap_remove(&segment.flow);
-            return forward_or_return(header, None);
+            return forward_or_return(header, ReturnCause::NotHeld(NotHeldReason::OpenElsewhere));
         }
-        if is_flow_absent || self.is_target_lost(now_ms) {
-            return forward_or_return(header, None);
+        if let Some(reason) = self.why_target_is_lost(now_ms) {
+            return forward_or_return(header, ReturnCause::NotHeld(reason));
+        }
+        if is_flow_absent {
+            return forward_or_return(header, ReturnCause::NotHeld(NotHeldReason::UnknownFlow));
         }
         let is_unconfirmed =
             flow_state != FlowState::Unknown && !self.flows.is_confirmed(&segment.flow);
@@ -266,7 +315,7 @@
 
     fn handle_opening(&mut self, segment: &Segment, header: SegmentHeader, now_ms: u64) -> Action {
         if !self.introduction.is_complete(now_ms) {
-            return forward_or_return(header, Some(RefusalReason::NotIntroduced));
+            return forward_or_return(header, ReturnCause::Refused(RefusalReason::NotIntroduced));
         }
         self.flows.expire_expected_requests(now_ms);
         let load = TargetLoad { flows: self.flows.open_count(), busy: self.flows.busy_count() };
@@ -281,7 +330,7 @@
             && self.health.is_failing()
             && !self.health.try_admit_trial(now_ms)
         {
-            return forward_or_return(header, Some(RefusalReason::Failing));
+            return forward_or_return(header, ReturnCause::Refused(RefusalReason::Failing));
         }
         match self.gate.admit(&offer, load, now_ms) {
             Ok(()) => {
@@ -296,7 +345,7 @@
                     hops,
                 }
             }
-            Err(refusal) => forward_or_return(header, Some(refusal)),
+            Err(refusal) => forward_or_return(header, ReturnCause::Refused(refusal)),
         }
     }
 
@@ -313,7 +362,7 @@
         let index = (segment.cookie % MAX_PENDING_SEGMENTS) as usize;
         match self.pending_segments[index].take() {
             Some(pending) if pending.cookie == segment.cookie && pending.flow == segment.flow => {
-                forward_or_return(pending.header, None)
+                forward_or_return(pending.header, ReturnCause::NotHeld(NotHeldReason::Bounced))
             }
             _ => Action::Drop,
         }
@@ -333,15 +382,20 @@
         Some(self.introduction.balancers_to_notify())
     }
 
-    /// Whether the target's flows are lost: it has ended, or sent nothing for [`TARGET_LOST_MS`] while this
-    /// process ran without a stall.
     fn is_target_lost(&self, now_ms: u64) -> bool {
-        if self.gate.phase(now_ms) == TargetPhase::Ended {
-            return true;
+        self.why_target_is_lost(now_ms).is_some()
+    }
+
+    /// Why the target's flows are lost, if they are: it has ended, or sent nothing for [`TARGET_LOST_MS`] while
+    /// this process ran without a stall.
+    fn why_target_is_lost(&self, now_ms: u64) -> Option<NotHeldReason> {
+        if self.gate.has_ended() {
+            return Some(NotHeldReason::TargetEnded);
         }
         let running_ms = now_ms.saturating_sub(self.running_since_ms);
         let unseen_ms = self.gate.ms_since_last_seen(now_ms).unwrap_or(running_ms);
-        unseen_ms > TARGET_LOST_MS && running_ms > TARGET_LOST_MS
+        let is_silent = unseen_ms > TARGET_LOST_MS && running_ms > TARGET_LOST_MS;
+        is_silent.then_some(NotHeldReason::TargetSilent)
     }
 
     /// Stores the header in case the target bounces the segment, and returns the cookie that finds it. The
@@ -356,19 +410,20 @@
 }
 
 /// Sends the segment to the next agent of the chain, or returns it to the balancer after the last one.
-fn forward_or_return(mut header: SegmentHeader, refusal: Option<RefusalReason>) -> Action {
-    header.saw_full_target |= matches!(refusal, Some(RefusalReason::Busy | RefusalReason::Full));
+fn forward_or_return(mut header: SegmentHeader, cause: ReturnCause) -> Action {
+    header.saw_full_target |=
+        matches!(cause, ReturnCause::Refused(RefusalReason::Busy | RefusalReason::Full));
     if !header.chain.is_empty() {
         let next = header.chain.remove(0);
         header.hops = header.hops.saturating_add(1);
-        return Action::ForwardToAgent(next, header, refusal);
+        return Action::ForwardToAgent(next, header, cause);
     }
     match header.report_to {
         Some(balancer) => Action::ReturnToBalancer {
             balancer,
             search_id: header.search_id,
             saw_full_target: header.saw_full_target,
-            refusal,
+            cause,
         },
         None => Action::Drop,
     }
--- a/src/process/passthrough/balancer_forwarding.rs
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -78,6 +78,7 @@
             send_to_agents(shared, &destinations, datagram, out).await
         }
         ForwardingDecision::SendAndWait(destinations) => {
+            shared.metrics.searches_limited.inc();
             queue_segment(shared, segment, datagram, WaitReason::NotAllAnswered);
             send_to_agents(shared, &destinations, datagram, out).await;
         }
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -38,10 +38,16 @@
     pub segments_dropped: ReasonCounter,
     /// Openings that an agent did not offer to its target, by reason.
     pub refused_openings: ReasonCounter,
+    /// Segments that an agent passed on or returned because its target does not hold their flow, by reason.
+    pub flows_not_held: ReasonCounter,
+    /// Reports of targets, by what became of them.
+    pub target_reports: ReasonCounter,
     /// Connection attempts that check whether a process of the target runs, by outcome.
     pub target_checks: ReasonCounter,
     /// Searches for the agent that holds a flow, and offers of openings.
     pub searches: Counter,
+    /// Segments whose flow was searched for so often that only unavailable agents got a copy.
+    pub searches_limited: Counter,
     /// Failed calls of the store, by call.
     pub store_failures: ReasonCounter,
     /// Times that the store has returned from an older copy.
@@ -74,8 +80,11 @@
             segments_waited: Family::default(),
             segments_dropped: Family::default(),
             refused_openings: Family::default(),
+            flows_not_held: Family::default(),
+            target_reports: Family::default(),
             target_checks: Family::default(),
             searches: Counter::default(),
+            searches_limited: Counter::default(),
             store_failures: Family::default(),
             store_eras: Gauge::default(),
             store_outdated_answers: Gauge::default(),
@@ -101,12 +110,27 @@
             "Openings not given to the target",
             metrics.refused_openings.clone(),
         );
+        registry.register(
+            "flows_not_held",
+            "Segments passed on or returned, as the target does not hold their flow",
+            metrics.flows_not_held.clone(),
+        );
+        registry.register(
+            "target_reports",
+            "Reports of the target",
+            metrics.target_reports.clone(),
+        );
         registry.register(
             "target_looks",
             "Connections tried to see whether a process of the target runs",
             metrics.target_checks.clone(),
         );
         registry.register("searches", "Searches for flows", metrics.searches.clone());
+        registry.register(
+            "searches_limited",
+            "Segments that were not searched for again",
+            metrics.searches_limited.clone(),
+        );
         registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
         registry.register("store_eras", "Returns of the store", metrics.store_eras.clone());
         registry.register(
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -5,9 +5,11 @@
 use std::fs;
 use std::path::Path;
 
+use rhubarbthread::connection::target_gate::IgnoredReason;
 use rhubarbthread::connection::target_gate::RefusalReason;
 use rhubarbthread::process::agent_socket::AgentDrop;
 use rhubarbthread::process::events::Event;
+use rhubarbthread::process::passthrough::agent_state::NotHeldReason;
 use rhubarbthread::process::passthrough::balancer_state::DropReason;
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
 use rhubarbthread::process::passthrough::balancer_state::WaitReason;
@@ -107,7 +109,10 @@
         let dropped = DropReason::ALL.iter().map(|reason| reason.as_str());
         let resets = ResetReason::ALL.iter().map(|reason| reason.as_str());
         let waits = WaitReason::ALL.iter().map(|reason| reason.as_str());
-        for reason in refused.chain(dropped).chain(resets).chain(waits) {
+        let not_held = NotHeldReason::ALL.iter().map(|reason| reason.as_str());
+        let ignored = IgnoredReason::ALL.iter().map(|reason| reason.as_str());
+        let agent = not_held.chain(ignored);
+        for reason in refused.chain(dropped).chain(resets).chain(waits).chain(agent) {
             assert!(page.contains(&format!("`{reason}`")), "docs/OPERATIONS.md lacks {reason}");
         }
     };
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexSet;
 use rhubarbthread::connection::segment::Segment;
+use rhubarbthread::connection::target_gate::IgnoredReason;
 use rhubarbthread::connection::target_gate::OpeningOffer;
 use rhubarbthread::connection::target_gate::RefusalReason;
 use rhubarbthread::connection::target_gate::ReportOutcome;
@@ -19,6 +20,8 @@
 use rhubarbthread::connection::tracked_flows::TrackedFlows;
 use rhubarbthread::process::passthrough::agent_state::Action;
 use rhubarbthread::process::passthrough::agent_state::AgentState;
+use rhubarbthread::process::passthrough::agent_state::NotHeldReason;
+use rhubarbthread::process::passthrough::agent_state::ReturnCause;
 use rhubarbthread::process::passthrough::message::Probe;
 use rhubarbthread::process::passthrough::segment_header::SegmentHeader;
 use rhubarbthread::version::store_position::ReportedPosition;
@@ -61,6 +64,10 @@
     gate
 }
 
+fn ignored(reason: IgnoredReason) -> ReportOutcome {
+    ReportOutcome::Ignored(reason)
+}
+
 fn admit(gate: &mut TargetGate, now_ms: u64) -> Result<(), RefusalReason> {
     gate.admit(&OFFER, NO_LOAD, now_ms)
 }
@@ -118,18 +125,19 @@
     }
 }
 
-fn returned_to_balancer(search: u32) -> Action {
+fn returned_to_balancer(search: u32, reason: NotHeldReason) -> Action {
     Action::ReturnToBalancer {
         balancer: address(9, 7720),
         search_id: search,
         saw_full_target: false,
-        refusal: None,
+        cause: ReturnCause::NotHeld(reason),
     }
 }
 
 fn refusal_of(action: &Action) -> Option<RefusalReason> {
     match action {
-        Action::ReturnToBalancer { refusal, .. } => *refusal,
+        Action::ReturnToBalancer { cause: ReturnCause::Refused(refusal), .. } => Some(*refusal),
+        Action::ReturnToBalancer { .. } => None,
         other => panic!("expected a returned opening, got {other:?}"),
     }
 }
@@ -178,13 +186,13 @@
     a_late_report_of_a_past_life_changes_nothing: {
         let mut gate = gate();
         assert_eq!(gate.apply_report(report("b", 5, 1), 1), ReportOutcome::NewLife);
-        assert_eq!(gate.apply_report(report("a", 1, 9), 2), ReportOutcome::Stale);
+        assert_eq!(gate.apply_report(report("a", 1, 9), 2), ignored(IgnoredReason::PastInstance));
         assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("b"));
     };
     a_report_out_of_order_changes_nothing: {
         let mut gate = gate();
         gate.apply_report(TargetReport { is_leaving: true, ..report("a", 1, 5) }, 1);
-        assert_eq!(gate.apply_report(report("a", 1, 4), 2), ReportOutcome::Stale);
+        assert_eq!(gate.apply_report(report("a", 1, 4), 2), ignored(IgnoredReason::EarlierSequence));
         assert_eq!(gate.phase(2), TargetPhase::Leaving);
     };
     a_target_that_starts_again_under_its_id_is_another_life: {
@@ -195,7 +203,7 @@
     a_target_that_has_left_stays_so: {
         let mut gate = gate();
         assert!(gate.note_shutdown("a"));
-        assert_eq!(gate.apply_report(report("a", 1, 9), 1), ReportOutcome::Stale);
+        assert_eq!(gate.apply_report(report("a", 1, 9), 1), ignored(IgnoredReason::HasEnded));
         assert_eq!(gate.phase(1), TargetPhase::Ended);
     };
     a_target_whose_host_refuses_connections_holds_no_flow: {
@@ -398,7 +406,7 @@
         let forwarded = agent.handle_node_segment(&segment(1), header(&[next], 4), 1);
         let bounced = Segment { is_bounced: true, cookie: cookie_of(&forwarded), ..segment(1) };
         match agent.handle_target_segment(&bounced, 2) {
-            Action::ForwardToAgent(agent, header, None) => {
+            Action::ForwardToAgent(agent, header, ReturnCause::NotHeld(NotHeldReason::Bounced)) => {
                 assert_eq!(
                     (agent, header.chain.len(), header.search_id, header.hops),
                     (next, 0, 4, 1)
@@ -411,7 +419,10 @@
         let mut agent = agent();
         let forwarded = agent.handle_node_segment(&segment(1), header(&[], 4), 1);
         let bounced = Segment { is_bounced: true, cookie: cookie_of(&forwarded), ..segment(1) };
-        assert_eq!(agent.handle_target_segment(&bounced, 2), returned_to_balancer(4));
+        assert_eq!(
+            agent.handle_target_segment(&bounced, 2),
+            returned_to_balancer(4, NotHeldReason::Bounced)
+        );
     };
     a_header_with_too_many_hops_is_no_fault: {
         let mut agent = agent();
@@ -489,7 +500,7 @@
         agent.clear_flows_and_health();
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 2),
-            returned_to_balancer(4)
+            returned_to_balancer(4, NotHeldReason::UnknownFlow)
         );
         open_flow(&mut agent, 2, 3);
         cookie_of(&agent.handle_node_segment(&segment(2), header(&[], 4), 4));
@@ -502,12 +513,12 @@
         let elsewhere = Segment { acknowledged: 4_000_000, ..segment(1) };
         assert_eq!(
             agent.handle_node_segment(&elsewhere, header(&[], 4), 2),
-            returned_to_balancer(4)
+            returned_to_balancer(4, NotHeldReason::OpenElsewhere)
         );
         agent.handle_node_segment(&opening(2), header(&[], 0), 3);
         assert_eq!(
             agent.handle_node_segment(&segment(2), header(&[], 4), 4),
-            returned_to_balancer(4)
+            returned_to_balancer(4, NotHeldReason::OpenElsewhere)
         );
     };
     a_reset_of_a_target_that_nobody_knows_yet_reaches_no_caller: {
@@ -527,7 +538,7 @@
         agent.gate.apply_report(report("a", 1, 1), 0);
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 1),
-            returned_to_balancer(4)
+            returned_to_balancer(4, NotHeldReason::UnknownFlow)
         );
     };
     a_target_that_never_reports_holds_no_flow: {
@@ -537,7 +548,7 @@
         cookie_of(&agent.handle_node_segment(&segment(1), header(&[], 4), 2_500));
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 2_501),
-            returned_to_balancer(4)
+            returned_to_balancer(4, NotHeldReason::TargetSilent)
         );
         assert_eq!(agent.phase(2_501), TargetPhase::Ended);
         agent.note_stall(9_000);
