A search asks each agent once; an agent that is back is asked at once

What callers saw: open flows that stall for 2 to 3 s while agents and balancers restart in turn, their segments at other targets.

Cause: a search was limited for a flow as long as any agent was awaited, so that a third one within 2.2 s asked only agents that were unavailable, and not the holder's, which was back. Queued segments were released only once no agent at all was awaited, also none of a host that had been taken away.

Change: agents are numbered as they become available to searches. A flow keeps up to which number agents have answered that they do not hold it; they are not asked again, and those that became available since are asked at once, also for queued segments. Agents whose target has ended hold up nothing. The limit of two searches stays for asking the same agents again.

Class: a bound on one thing (searches for a flow) that depends on the state of all others.

Tests that failed before: an_agent_that_is_back_is_asked_though_others_are_awaited, agents_that_do_not_hold_a_flow_are_not_asked_for_it_again, a_host_that_was_taken_away_holds_up_no_reset. Two tests change: once all agents have answered, a lost flow is reset at the release of its segment, without a second search; both expected the reset after that search.

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -4,6 +4,7 @@
 //! bounded to [`MAX_FLOW_LOCATIONS`] entries of about 60 bytes.
 
 use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
 
 use indexmap::IndexMap;
 
@@ -14,9 +15,9 @@
 /// serve the flows of several others that are down.
 pub const MAX_FLOW_LOCATIONS: usize = 131_072;
 
-/// Maximum number of searches for one flow within [`SEARCH_WINDOW_MS`] while an agent is starting or
-/// restarting. Each search sends a segment to targets that do not hold the flow, and the platform considers
-/// a flow lost after three of these within two seconds.
+/// Maximum number of searches within [`SEARCH_WINDOW_MS`] that ask agents again for one flow while an agent is
+/// starting or restarting. Each sends a segment to targets that do not hold the flow, and the platform
+/// considers a flow lost after three of these within two seconds.
 const MAX_SEARCHES: u32 = 2;
 
 /// Window in which searches are counted, in milliseconds: the platform's two seconds plus a margin.
@@ -26,6 +27,10 @@
 /// milliseconds: callers retransmit after 200 ms.
 const REFUSAL_DEADLINE_MS: u64 = 150;
 
+/// Time for which the answers to a search count, in milliseconds; a caller may use its port again for another
+/// flow later.
+const RULED_OUT_MS: u64 = 5_000;
+
 /// Time after which a search without a result has timed out, in milliseconds: a chain of agents answers
 /// within a few milliseconds, and callers retransmit after 200 ms.
 const SEARCH_TIMEOUT_MS: u64 = 150;
@@ -39,8 +44,13 @@
     search_window_start_ms: u64,
     search_id: u32,
     search_started_ms: u64,
-    /// Fingerprint of the agents that the last search asks.
-    searched_agents: u64,
+    /// The last search asks the agents that became available by changes after the first number, up to the
+    /// second.
+    asked_change: u64,
+    search_change: u64,
+    /// Latest availability change up to which no agent holds the flow.
+    ruled_out_change: u64,
+    ruled_out_ms: u64,
     pending_chains: usize,
     last_offered_ms: u64,
     first_offered_ms: u64,
@@ -56,6 +66,11 @@
         is_pending.then(|| now_ms.saturating_sub(self.search_started_ms))
     }
 
+    fn ruled_out_change(&self, now_ms: u64) -> u64 {
+        let is_recent = now_ms.saturating_sub(self.ruled_out_ms) < RULED_OUT_MS;
+        if is_recent { self.ruled_out_change } else { 0 }
+    }
+
     /// Whether the window in which searches are counted has ended.
     fn is_search_window_over(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.search_window_start_ms) > SEARCH_WINDOW_MS
@@ -67,7 +82,9 @@
 pub enum SearchState {
     /// Other chains have not reported yet, the flow has been found, or a newer search has started.
     Pending,
-    /// No target on any chain holds the flow.
+    /// No target on any chain holds the flow, but agents that an earlier search asked have not all answered.
+    PartlyNotHeld,
+    /// No target of an available agent holds the flow.
     NotHeld,
 }
 
@@ -122,6 +139,7 @@
         entry.is_confirmed = is_confirmed;
         entry.holder = Some(holder);
         entry.search_count = 0;
+        entry.ruled_out_change = 0;
     }
 
     /// Removes the entry of a flow.
@@ -129,36 +147,41 @@
         self.entries.swap_remove(flow);
     }
 
-    /// Starts a search along `chains` chains with the agents of this fingerprint and returns its id, or
-    /// `None` if `is_limited` is set and the limit on searches for a flow is reached.
+    /// Starts a search along `chains` chains of the agents that became available by these changes, and returns
+    /// its id.
     pub fn begin_search(
         &mut self,
         flow: FlowKey,
         chains: usize,
-        searched_agents: u64,
-        is_limited: bool,
+        changes: &RangeInclusive<u64>,
         now_ms: u64,
-    ) -> Option<u32> {
+    ) -> u32 {
         let search_id = self.next_search_id();
         let entry = self.entry(flow, now_ms);
         if entry.is_search_window_over(now_ms) {
             entry.search_window_start_ms = now_ms;
             entry.search_count = 0;
         }
-        if is_limited && entry.search_count >= MAX_SEARCHES {
-            return None;
-        }
         entry.search_count += 1;
         entry.search_id = search_id;
         entry.search_started_ms = now_ms;
-        entry.searched_agents = searched_agents;
+        entry.asked_change = changes.start() - 1;
+        entry.search_change = *changes.end();
         entry.pending_chains = chains;
-        Some(search_id)
+        search_id
     }
 
-    /// Whether the last search for the flow asked the agents of this fingerprint.
-    pub fn has_searched(&self, flow: &FlowKey, agents: u64) -> bool {
-        self.entries.get(flow).is_some_and(|entry| entry.searched_agents == agents)
+    /// Latest availability change of an agent up to which none holds the flow, as they have answered; 0 if
+    /// none has.
+    pub fn ruled_out_change(&self, flow: &FlowKey, now_ms: u64) -> u64 {
+        let entry = self.entries.get(flow);
+        let is_recent = |entry: &&Entry| now_ms.saturating_sub(entry.ruled_out_ms) < RULED_OUT_MS;
+        entry.filter(is_recent).map_or(0, |entry| entry.ruled_out_change)
+    }
+
+    /// Latest availability change of an agent that the last search for the flow asks; 0 without a search.
+    pub fn search_change(&self, flow: &FlowKey) -> u64 {
+        self.entries.get(flow).map_or(0, |entry| entry.search_change)
     }
 
     /// Whether a search for the flow is pending and has not timed out.
@@ -167,8 +190,8 @@
             .is_some_and(|pending_search_ms| pending_search_ms < SEARCH_TIMEOUT_MS)
     }
 
-    /// Whether the limit on searches while an agent is starting or restarting allows another one.
-    pub fn may_search(&self, flow: &FlowKey, now_ms: u64) -> bool {
+    /// Whether the limit on searches while an agent is starting or restarting allows to ask agents again.
+    pub fn may_ask_again(&self, flow: &FlowKey, now_ms: u64) -> bool {
         self.entries.get(flow).is_none_or(|entry| {
             entry.search_count < MAX_SEARCHES || entry.is_search_window_over(now_ms)
         })
@@ -197,6 +220,7 @@
         entry.last_offered_ms = now_ms;
         entry.offer_count += 1;
         entry.pending_offers += 1;
+        entry.ruled_out_change = 0;
         search_id
     }
 
@@ -240,7 +264,7 @@
     }
 
     /// Records that no target on one chain of a search holds the flow.
-    pub fn note_not_held(&mut self, flow: &FlowKey, search_id: u32) -> SearchState {
+    pub fn note_not_held(&mut self, flow: &FlowKey, search_id: u32, now_ms: u64) -> SearchState {
         let Some(entry) = self.entries.get_mut(flow) else {
             return SearchState::Pending;
         };
@@ -248,7 +272,15 @@
             return SearchState::Pending;
         }
         entry.pending_chains -= 1;
-        if entry.pending_chains == 0 { SearchState::NotHeld } else { SearchState::Pending }
+        if entry.pending_chains > 0 {
+            return SearchState::Pending;
+        }
+        if entry.asked_change > entry.ruled_out_change(now_ms) {
+            return SearchState::PartlyNotHeld;
+        }
+        entry.ruled_out_change = entry.search_change;
+        entry.ruled_out_ms = now_ms;
+        SearchState::NotHeld
     }
 
     /// Removes flows that no segment has used for longer than `idle_ms`.
@@ -278,7 +310,10 @@
             search_window_start_ms: now_ms,
             search_id: 0,
             search_started_ms: now_ms,
-            searched_agents: 0,
+            asked_change: 0,
+            search_change: 0,
+            ruled_out_change: 0,
+            ruled_out_ms: 0,
             pending_chains: 0,
             last_offered_ms: 0,
             first_offered_ms: 0,
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -231,28 +231,32 @@
             }
             return self.start_search(segment, now_ms);
         }
-        if self.flow_locations.note_not_held(&flow, search_id) == SearchState::Pending {
-            return ForwardingDecision::Drop(DropReason::Searching);
+        let search_state = self.flow_locations.note_not_held(&flow, search_id, now_ms);
+        match search_state {
+            SearchState::Pending => return ForwardingDecision::Drop(DropReason::Searching),
+            _ if segment.resets => return ForwardingDecision::Drop(DropReason::NothingToReset),
+            SearchState::PartlyNotHeld => {
+                return ForwardingDecision::Wait(WaitReason::NotAllAnswered);
+            }
+            SearchState::NotHeld => {}
         }
-        if segment.resets {
-            return ForwardingDecision::Drop(DropReason::NothingToReset);
+        // An agent that became known or available during the search was not asked.
+        if self.targets.note_available_agents(now_ms) > self.flow_locations.search_change(&flow) {
+            return self.start_search(segment, now_ms);
         }
+        self.conclude_search(&flow, now_ms)
+    }
+
+    /// Decides on a flow that no available agent holds.
+    fn conclude_search(&mut self, flow: &FlowKey, now_ms: u64) -> ForwardingDecision {
         match self.targets.unavailable_holder_liveness(now_ms) {
             _ if !self.knows_all_agents => ForwardingDecision::Wait(WaitReason::NotAllAnswered),
             Some(Liveness::Awaited) => ForwardingDecision::Wait(WaitReason::NotAllAnswered),
-            Some(_) if !self.is_route_idempotent(&flow) => {
+            Some(_) if !self.is_route_idempotent(flow) => {
                 ForwardingDecision::Drop(DropReason::LossUnproven)
             }
-            // An agent that became known or available during the search was not asked.
-            Some(_) | None
-                if !self
-                    .flow_locations
-                    .has_searched(&flow, self.targets.searchable_fingerprint(now_ms)) =>
-            {
-                self.start_search(segment, now_ms)
-            }
             Some(_) | None => {
-                self.waiting_segments.take_flow(&flow);
+                self.waiting_segments.take_flow(flow);
                 ForwardingDecision::Reset(ResetReason::NotHeld)
             }
         }
@@ -290,16 +294,24 @@
         let mut waiting_segments = std::mem::take(&mut self.waiting_segments);
         let all_agents_resolved =
             self.knows_all_agents && self.targets.is_liveness_resolved(now_ms);
+        let change = self.targets.note_available_agents(now_ms);
         let releasable = waiting_segments.take_due(max_flows, |segment| {
-            self.is_releasable(segment, all_agents_resolved, now_ms)
+            self.is_releasable(segment, all_agents_resolved, change, now_ms)
         });
         self.waiting_segments = waiting_segments;
         releasable
     }
 
     /// Whether a queued segment can be decided on. `all_agents_resolved` means that every agent that may
-    /// hold a flow is known and none is [`Liveness::Awaited`].
-    fn is_releasable(&mut self, segment: &Segment, all_agents_resolved: bool, now_ms: u64) -> bool {
+    /// hold a flow is known and none is [`Liveness::Awaited`]; `change` is the latest one by which an agent became
+    /// available.
+    fn is_releasable(
+        &mut self,
+        segment: &Segment,
+        all_agents_resolved: bool,
+        change: u64,
+        now_ms: u64,
+    ) -> bool {
         let flow = &segment.flow;
         if self.routing.route(flow.service).is_none() {
             return true;
@@ -317,8 +329,9 @@
             return false;
         }
         let may_search_again = self.flow_locations.has_search_timed_out(flow, now_ms)
-            && self.flow_locations.may_search(flow, now_ms);
-        all_agents_resolved || may_search_again
+            && self.flow_locations.may_ask_again(flow, now_ms);
+        let has_unasked_agent = change > self.flow_locations.search_change(flow);
+        all_agents_resolved || may_search_again || has_unasked_agent
     }
 
     /// Decides to forward an opening to the agent whose target accepted an earlier transmission of it, or
@@ -424,65 +437,85 @@
         self.routing.route(flow.service).is_some_and(|rule| rule.is_idempotent)
     }
 
-    /// Chains to search for the flow, through the current and the past services of its route.
-    fn plan_search(&self, flow: &FlowKey, now_ms: u64) -> Search {
+    /// Agents to search for the flow, through the current and the past services of its route, that became
+    /// available after `asked_change`.
+    fn plan_search(&self, flow: &FlowKey, asked_change: u64, now_ms: u64) -> Search {
         let mut services = self.candidate_services(flow);
         services.extend(self.routing.past_services(flow.service));
-        self.targets.search(&services, flow.hash(), now_ms)
+        self.targets.search(&services, flow.hash(), asked_change, now_ms)
     }
 
-    /// Sends the segment to the agents that may hold its flow, or queues it if a search is in progress.
+    /// Sends the segment to the agents that may hold its flow and have not answered that they do not. It is
+    /// queued if there are none, or a search is in progress.
     fn start_search(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
-        if self.flow_locations.is_search_pending(&segment.flow, now_ms) {
+        let flow = segment.flow;
+        if self.flow_locations.is_search_pending(&flow, now_ms) {
             return ForwardingDecision::Wait(WaitReason::SearchInProgress);
         }
-        if self.flow_locations.has_search_timed_out(&segment.flow, now_ms) {
+        if self.flow_locations.has_search_timed_out(&flow, now_ms) {
             self.targets.recheck_all(now_ms);
         }
-        let mut search = self.plan_search(&segment.flow, now_ms);
+        self.targets.note_available_agents(now_ms);
+        let ruled_out_change = self.flow_locations.ruled_out_change(&flow, now_ms);
+        let mut search = self.plan_search(&flow, ruled_out_change, now_ms);
+        if search.has_awaited && !self.flow_locations.may_ask_again(&flow, now_ms) {
+            let asked_change = ruled_out_change.max(self.flow_locations.search_change(&flow));
+            search = self.plan_search(&flow, asked_change, now_ms);
+        }
         // A failed agent cuts a chain short. Every second search runs in reverse, so that it reaches the
         // targets behind that agent.
-        if self.flow_locations.search_count(&segment.flow) % 2 == 1 {
+        if self.flow_locations.search_count(&flow) % 2 == 1 {
             search.chains.iter_mut().for_each(|chain| chain.reverse());
         }
-        let is_limited = search.has_awaited;
+        let copies = self.copies_to_unavailable(&search.unavailable);
+        if search.chains.is_empty() {
+            return self.decide_without_chains(&flow, copies, ruled_out_change, now_ms);
+        }
         let chains = search.chains.len();
-        let search_id = self.flow_locations.begin_search(
-            segment.flow,
-            chains,
-            search.fingerprint,
-            is_limited,
-            now_ms,
-        );
-        let report_to = Some(self.control_address);
-        let mut destinations: Vec<(SocketAddrV4, SegmentHeader)> = search
-            .unavailable
-            .iter()
-            .take(MAX_COPIES_TO_UNAVAILABLE)
-            .map(|agent| {
-                (
-                    *agent,
-                    SegmentHeader {
-                        report_to,
-                        search_id: UNTRACKED_SEARCH,
-                        ..SegmentHeader::default()
-                    },
-                )
-            })
-            .collect();
-        if let Some(search_id) = search_id {
-            for mut chain in search.chains {
-                let first = chain.remove(0);
-                destinations.push((
-                    first,
-                    SegmentHeader { chain, report_to, search_id, ..SegmentHeader::default() },
-                ));
-            }
+        let search_id = self.flow_locations.begin_search(flow, chains, &search.changes, now_ms);
+        let mut destinations = copies;
+        for mut chain in search.chains {
+            let first = chain.remove(0);
+            let report_to = Some(self.control_address);
+            let header = SegmentHeader { chain, report_to, search_id, ..SegmentHeader::default() };
+            destinations.push((first, header));
         }
-        match (destinations.is_empty(), search_id) {
-            (false, Some(_)) => ForwardingDecision::Send(destinations),
-            (false, None) => ForwardingDecision::SendAndWait(destinations),
-            (true, _) => ForwardingDecision::Wait(WaitReason::NoTargetYet),
+        ForwardingDecision::Send(destinations)
+    }
+
+    /// Decides on a segment of a flow that no available agent has to be asked for. `copies` go to agents that
+    /// are unavailable.
+    fn decide_without_chains(
+        &mut self,
+        flow: &FlowKey,
+        copies: Vec<(SocketAddrV4, SegmentHeader)>,
+        ruled_out_change: u64,
+        now_ms: u64,
+    ) -> ForwardingDecision {
+        if ruled_out_change == 0 {
+            let was_searched = self.flow_locations.search_change(flow) > 0;
+            return match copies.is_empty() {
+                true => ForwardingDecision::Wait(WaitReason::NoTargetYet),
+                false if was_searched => ForwardingDecision::SendAndWait(copies),
+                false => ForwardingDecision::Send(copies),
+            };
         }
+        match self.conclude_search(flow, now_ms) {
+            ForwardingDecision::Wait(_) if !copies.is_empty() => {
+                ForwardingDecision::SendAndWait(copies)
+            }
+            ForwardingDecision::Drop(_) if !copies.is_empty() => ForwardingDecision::Send(copies),
+            decision => decision,
+        }
+    }
+
+    fn copies_to_unavailable(&self, agents: &[SocketAddrV4]) -> Vec<(SocketAddrV4, SegmentHeader)> {
+        let header = SegmentHeader {
+            report_to: Some(self.control_address),
+            search_id: UNTRACKED_SEARCH,
+            ..SegmentHeader::default()
+        };
+        let agents = agents.iter().take(MAX_COPIES_TO_UNAVAILABLE);
+        agents.map(|agent| (*agent, header.clone())).collect()
     }
 }
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -59,6 +59,8 @@
     introduction_probed_ms: Option<u64>,
     /// Time since when another balancer alone has reported that its target has ended.
     end_relayed_ms: Option<u64>,
+    /// Change by which searches could ask the agent; `None` while they cannot.
+    availability_change: Option<u64>,
 }
 
 impl TargetEntry {
@@ -105,6 +107,8 @@
     targets: IndexMap<SocketAddrV4, TargetEntry>,
     zones_last_seen_ms: IndexMap<String, u64>,
     stall_grace_until_ms: u64,
+    /// Number of times that an agent has become available to searches.
+    availability_changes: u64,
     update_rotation: Rotation,
     load_rotation: Rotation,
     remote_probe_rotation: Rotation,
@@ -124,6 +128,7 @@
             targets: IndexMap::new(),
             zones_last_seen_ms: IndexMap::new(),
             stall_grace_until_ms: 0,
+            availability_changes: 0,
             update_rotation: Rotation::new(),
             load_rotation: Rotation::new(),
             remote_probe_rotation: Rotation::new(),
@@ -159,6 +164,7 @@
             is_end_direct: false,
             introduction_probed_ms: None,
             end_relayed_ms: None,
+            availability_change: None,
         };
         self.targets.insert(data, entry);
         true
--- a/src/version/target_table/liveness.rs
+++ b/src/version/target_table/liveness.rs
@@ -108,9 +108,11 @@
         all.filter(|(_, liveness)| *liveness != Liveness::Alive).collect()
     }
 
-    /// Whether no agent is awaited: each is known to be alive or silent.
+    /// Whether no agent that may hold flows is awaited: each is known to be alive or silent.
     pub fn is_liveness_resolved(&self, now_ms: u64) -> bool {
-        self.targets.values().all(|entry| self.liveness_of(entry, now_ms) != Liveness::Awaited)
+        let may_hold_flows = |entry: &&TargetEntry| entry.may_hold_flows(Liveness::Awaited);
+        let mut holders = self.targets.values().filter(may_hold_flows);
+        holders.all(|entry| self.liveness_of(entry, now_ms) != Liveness::Awaited)
     }
 
     /// Agents that are alive, have sent a status and are not stopping.
--- a/src/version/target_table/search.rs
+++ b/src/version/target_table/search.rs
@@ -1,6 +1,7 @@
 //! The agents that a segment is sent to: chains for openings and for searches.
 
 use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
 
 use indexmap::IndexMap;
 
@@ -21,7 +22,7 @@
 pub const MAX_OPENING_CHAIN: usize = 8;
 
 /// Agents to which a segment of a flow is sent when its holder is unknown.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Search {
     /// Agents that are alive, in chains of up to [`MAX_SEARCH_CHAIN`] agents of one zone, the likeliest
     /// holder first. As no chain spans two zones, an unreachable zone does not block the others, and a
@@ -31,8 +32,8 @@
     pub unavailable: Vec<SocketAddrV4>,
     /// Whether an agent that may hold the flow is [`Liveness::Awaited`].
     pub has_awaited: bool,
-    /// Fingerprint of the agents in `chains`; see [`TargetTable::searchable_fingerprint`].
-    pub fingerprint: u64,
+    /// Changes by which the agents in `chains` became available to searches.
+    pub changes: RangeInclusive<u64>,
 }
 
 impl TargetTable {
@@ -61,9 +62,35 @@
         }
     }
 
-    /// All agents that may hold a flow, ordered by service as in `services`, then by rendezvous score;
-    /// agents of other services come last.
-    pub fn search(&self, services: &[&str], flow_hash: u64, now_ms: u64) -> Search {
+    /// Numbers the agents that have become available to searches since the last call, and returns the latest
+    /// number. A search that has asked all agents up to a number need not ask them again.
+    pub fn note_available_agents(&mut self, now_ms: u64) -> u64 {
+        let mut is_available = Vec::with_capacity(self.targets.len());
+        is_available.extend(self.targets.values().map(|entry| {
+            self.liveness_of(entry, now_ms) == Liveness::Alive
+                && entry.may_hold_flows(Liveness::Alive)
+        }));
+        for (entry, is_available) in self.targets.values_mut().zip(is_available) {
+            if !is_available {
+                entry.availability_change = None;
+            } else if entry.availability_change.is_none() {
+                self.availability_changes += 1;
+                entry.availability_change = Some(self.availability_changes);
+            }
+        }
+        self.availability_changes
+    }
+
+    /// Agents that may hold a flow, ordered by service as in `services`, then by rendezvous score; agents of
+    /// other services come last. Available agents are left out up to the change `asked_change`, see
+    /// [`TargetTable::note_available_agents`].
+    pub fn search(
+        &self,
+        services: &[&str],
+        flow_hash: u64,
+        asked_change: u64,
+        now_ms: u64,
+    ) -> Search {
         let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
             let liveness = self.liveness_of(entry, now_ms);
@@ -79,11 +106,17 @@
         }
         ranked.sort_unstable_by_key(|(rank, score, ..)| (*rank, *score));
         let mut chains: IndexMap<&str, Vec<SocketAddrV4>> = IndexMap::new();
-        let mut search = Search::default();
+        let mut search = Search {
+            chains: Vec::new(),
+            unavailable: Vec::new(),
+            has_awaited: false,
+            changes: asked_change + 1..=self.availability_changes,
+        };
         for (.., data, entry, liveness) in ranked {
             if liveness == Liveness::Alive {
-                chains.entry(&entry.zone).or_default().push(data);
-                search.fingerprint = search.fingerprint.wrapping_add(entry.id);
+                if entry.availability_change.is_none_or(|change| change > asked_change) {
+                    chains.entry(&entry.zone).or_default().push(data);
+                }
             } else {
                 search.unavailable.push(data);
                 search.has_awaited |= liveness == Liveness::Awaited;
@@ -94,16 +127,6 @@
         search
     }
 
-    /// Fingerprint of the agents that a search would ask now. It differs from that of an earlier search if
-    /// an agent has become known or available since.
-    pub fn searchable_fingerprint(&self, now_ms: u64) -> u64 {
-        let searchable = self.targets.values().filter(|entry| {
-            entry.may_hold_flows(Liveness::Alive)
-                && self.liveness_of(entry, now_ms) == Liveness::Alive
-        });
-        searchable.fold(0, |sum, entry| sum.wrapping_add(entry.id))
-    }
-
     /// State of the agents that may hold a flow and are not alive: `Awaited` if any of them is awaited,
     /// else `Silent`; `None` if all are alive.
     pub fn unavailable_holder_liveness(&self, now_ms: u64) -> Option<Liveness> {
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -85,13 +85,17 @@
     }
 }
 
-/// Returns a segment from the end of each chain of its search, and yields the decision on the last one.
+/// Returns a segment from the end of each chain of its search, and yields the decision on the last one, or the
+/// first decision if that sends the segment to nobody.
 fn return_from_all_chains(
     balancer: &mut BalancerState,
     segment: &Segment,
     now_ms: u64,
 ) -> ForwardingDecision {
     let decision = balancer.decide(segment, now_ms);
+    if matches!(decision, ForwardingDecision::Reset(_) | ForwardingDecision::Wait(_)) {
+        return decision;
+    }
     let searches = searches(&decision);
     let mut last_decision = decision;
     for (agent, search_id) in searches.into_iter().filter(|(_, search_id)| *search_id != u32::MAX) {
@@ -379,6 +383,53 @@
         assert_eq!([2, 202, 602, 1_402].map(|now_ms| counted(&mut balancer, now_ms)), [2, 2, 0, 0]);
         assert_eq!(counted(&mut balancer, 3_002), 2);
     };
+    an_agent_that_is_back_is_asked_though_others_are_awaited: {
+        let mut balancer = balancer();
+        for octet in [12, 22] {
+            let status = status_of(octet, if octet == 12 { "a" } else { "b" }, "vypocet");
+            let stopping = TargetStatus { is_stopping: true, sequence: 2, ..status };
+            balancer.targets.apply_status(stopping, 0, 1);
+        }
+        for now_ms in [2, 202, 602] {
+            return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), now_ms);
+        }
+        let is_queued = balancer.waiting_segments.push(segment_of(ONCE, 1), &[], 602);
+        assert!(is_queued && balancer.take_releasable(64, 610).is_empty());
+        let back = TargetStatus { incarnation: 1_000, ..status_of(12, "a", "vypocet") };
+        balancer.targets.apply_status(back, 0, 620);
+        let released = balancer.take_releasable(64, 621);
+        assert_eq!(released.len(), 1, "the segment waits for an agent that is awaited still");
+        let chains = chains(balancer.decide(&segment_of(ONCE, 1), 621));
+        assert!(chains.contains(&vec![agent(12)]), "{chains:?}");
+    };
+    agents_that_do_not_hold_a_flow_are_not_asked_for_it_again: {
+        let mut balancer = balancer();
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(stopping, 0, 1);
+        return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 2);
+        let decision = balancer.decide(&segment_of(ONCE, 1), 202);
+        assert_eq!(chains(decision), [[agent(22)]]);
+    };
+    a_host_that_was_taken_away_holds_up_no_reset: {
+        // The host's end is known from another balancer only: it stays awaited, as it announced that it stops.
+        let mut balancer = balancer();
+        let ended = TargetStatus {
+            is_stopping: true,
+            phase: TargetPhase::Ended,
+            sequence: 2,
+            ..status_of(22, "b", "vypocet")
+        };
+        let update = TargetUpdate { status: ended, age_ms: 0, is_suspected: false };
+        balancer.targets.apply_relayed_update(&update, 1);
+        balancer.knows_all_agents = false;
+        return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 2);
+        balancer.waiting_segments.push(segment_of(ONCE, 1), &[], 2);
+        balancer.knows_all_agents = true;
+        assert_eq!(balancer.take_releasable(64, 10).len(), 1);
+        let decision = balancer.decide(&segment_of(ONCE, 1), 10);
+        assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
+    };
     a_zone_that_cannot_be_reached_holds_up_no_search: {
         // A single chain through all zones would end at the unreachable zone.
         let mut balancer = balancer();
