Segments wait for the agent of their flow while it restarts, also of a flow that has just opened

What callers saw: open flows that stall for 3 s when the agent of their target stops between the opening and the first request, or is away for longer than a retransmission.

Cause: until a flow is confirmed, its accepted opening is only a hint, and a search asks the others while that agent is away. But a search with a hint never ended: its answers were dropped, nothing waited, and the next retransmission asked all others again. With a confirmed holder that restarts, the segment was sent to a port without a listener and not kept.

Change: a hint no longer hides the end of a search; then the segment waits for the agents that are awaited. A segment for a confirmed holder that restarts is sent and waits as well, and goes to it as soon as it is back (new reason holder-restarting). The counter searches_limited goes: what waits is counted by reason.

Tests that failed before: a_flow_that_has_just_opened_waits_for_its_target_and_not_for_others, segments_wait_for_a_holder_that_restarts.

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -62,7 +62,7 @@
 impl Entry {
     /// Time since the pending search started, in milliseconds; `None` if no search is pending.
     fn pending_search_ms(&self, now_ms: u64) -> Option<u64> {
-        let is_pending = self.pending_chains > 0 && self.holder.is_none();
+        let is_pending = self.pending_chains > 0 && !self.is_confirmed;
         is_pending.then(|| now_ms.saturating_sub(self.search_started_ms))
     }
 
@@ -268,7 +268,7 @@
         let Some(entry) = self.entries.get_mut(flow) else {
             return SearchState::Pending;
         };
-        if entry.search_id != search_id || entry.pending_chains == 0 || entry.holder.is_some() {
+        if entry.search_id != search_id || entry.pending_chains == 0 || entry.is_confirmed {
             return SearchState::Pending;
         }
         entry.pending_chains -= 1;
--- a/src/process/passthrough/balancer_forwarding.rs
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -77,9 +77,8 @@
         ForwardingDecision::Send(destinations) => {
             send_to_agents(shared, &destinations, datagram, out).await
         }
-        ForwardingDecision::SendAndWait(destinations) => {
-            shared.metrics.searches_limited.inc();
-            queue_segment(shared, segment, datagram, WaitReason::NotAllAnswered);
+        ForwardingDecision::SendAndWait(destinations, reason) => {
+            queue_segment(shared, segment, datagram, reason);
             send_to_agents(shared, &destinations, datagram, out).await;
         }
         ForwardingDecision::Wait(reason) => queue_segment(shared, segment, datagram, reason),
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -32,9 +32,8 @@
 pub enum ForwardingDecision {
     /// Send it to these agents, each with the header that names the next hops.
     Send(Vec<(SocketAddrV4, SegmentHeader)>),
-    /// Send it to these agents and queue it as well: they are unavailable, and the limit on searches is
-    /// reached.
-    SendAndWait(Vec<(SocketAddrV4, SegmentHeader)>),
+    /// Send it to these agents, which are unavailable, and queue it as well.
+    SendAndWait(Vec<(SocketAddrV4, SegmentHeader)>, WaitReason),
     /// Queue it until a decision is possible.
     Wait(WaitReason),
     /// Send the caller a reset of the flow.
@@ -57,16 +56,19 @@
     /// No agent that answered holds the flow, but one that has not answered yet, or is not known yet, may
     /// hold it and is expected to answer.
     NotAllAnswered,
+    /// The agent that holds the flow is restarting.
+    HolderRestarting,
 }
 
 impl WaitReason {
     /// All reasons, for metrics and docs.
-    pub const ALL: [WaitReason; 5] = [
+    pub const ALL: [WaitReason; 6] = [
         WaitReason::NoConfiguration,
         WaitReason::NoTargetYet,
         WaitReason::AllFull,
         WaitReason::SearchInProgress,
         WaitReason::NotAllAnswered,
+        WaitReason::HolderRestarting,
     ];
 
     /// Label in metrics and logs.
@@ -77,6 +79,7 @@
             WaitReason::AllFull => "all-full",
             WaitReason::SearchInProgress => "search-under-way",
             WaitReason::NotAllAnswered => "not-all-answered",
+            WaitReason::HolderRestarting => "holder-restarting",
         }
     }
 }
@@ -240,6 +243,9 @@
             }
             SearchState::NotHeld => {}
         }
+        if self.reachable_holder(&flow, now_ms).is_some() {
+            return self.decide_on_established(segment, now_ms);
+        }
         // An agent that became known or available during the search was not asked.
         if self.targets.note_available_agents(now_ms) > self.flow_locations.search_change(&flow) {
             return self.start_search(segment, now_ms);
@@ -322,8 +328,8 @@
                 && (self.targets.has_accepting_target(&services, now_ms)
                     || !self.may_accept_flows_soon(&services, now_ms));
         }
-        if self.flow_locations.holder(flow, now_ms).is_some() {
-            return true;
+        if let Some(holder) = self.reachable_holder(flow, now_ms) {
+            return self.targets.liveness(holder, now_ms) != Some(Liveness::Awaited);
         }
         if self.flow_locations.is_search_pending(flow, now_ms) {
             return false;
@@ -401,32 +407,35 @@
     /// for that agent.
     fn decide_on_established(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
         let flow = segment.flow;
-        let Some(holder) = self.flow_locations.holder(&flow, now_ms) else {
+        let Some(holder) = self.reachable_holder(&flow, now_ms) else {
             return self.start_search(segment, now_ms);
         };
-        match self.targets.liveness(holder, now_ms) {
-            None => self.start_search(segment, now_ms),
-            // Until the flow is confirmed, an available target may have accepted another transmission of
-            // its opening.
-            Some(Liveness::Silent | Liveness::Awaited)
-                if !self.flow_locations.is_confirmed(&flow) =>
-            {
-                self.start_search(segment, now_ms)
-            }
-            Some(Liveness::Silent) if self.can_fail_over(&flow, now_ms) && !segment.resets => {
-                self.flow_locations.remove(&flow);
-                ForwardingDecision::Reset(ResetReason::HolderSilent)
-            }
-            Some(_) => {
-                let header = SegmentHeader {
-                    report_to: Some(self.control_address),
-                    ..SegmentHeader::default()
-                };
-                ForwardingDecision::Send(vec![(holder, header)])
+        let liveness = self.targets.liveness(holder, now_ms);
+        let is_lost = liveness == Some(Liveness::Silent) && !segment.resets;
+        if is_lost && self.can_fail_over(&flow, now_ms) {
+            self.flow_locations.remove(&flow);
+            return ForwardingDecision::Reset(ResetReason::HolderSilent);
+        }
+        let header =
+            SegmentHeader { report_to: Some(self.control_address), ..SegmentHeader::default() };
+        let destinations = vec![(holder, header)];
+        match liveness {
+            Some(Liveness::Awaited) => {
+                ForwardingDecision::SendAndWait(destinations, WaitReason::HolderRestarting)
             }
+            _ => ForwardingDecision::Send(destinations),
         }
     }
 
+    /// The agent that holds the flow, if it is known. Until the flow is confirmed, another target may have
+    /// accepted another transmission of its opening, which counts while this agent is unavailable.
+    fn reachable_holder(&mut self, flow: &FlowKey, now_ms: u64) -> Option<SocketAddrV4> {
+        let holder = self.flow_locations.holder(flow, now_ms)?;
+        let liveness = self.targets.liveness(holder, now_ms)?;
+        let is_reachable = liveness == Liveness::Alive || self.flow_locations.is_confirmed(flow);
+        is_reachable.then_some(holder)
+    }
+
     /// Whether the caller can move to another target instead of waiting for an unavailable one: its
     /// requests are idempotent, and another target accepts flows.
     fn can_fail_over(&self, flow: &FlowKey, now_ms: u64) -> bool {
@@ -496,13 +505,15 @@
             let was_searched = self.flow_locations.search_change(flow) > 0;
             return match copies.is_empty() {
                 true => ForwardingDecision::Wait(WaitReason::NoTargetYet),
-                false if was_searched => ForwardingDecision::SendAndWait(copies),
+                false if was_searched => {
+                    ForwardingDecision::SendAndWait(copies, WaitReason::NotAllAnswered)
+                }
                 false => ForwardingDecision::Send(copies),
             };
         }
         match self.conclude_search(flow, now_ms) {
-            ForwardingDecision::Wait(_) if !copies.is_empty() => {
-                ForwardingDecision::SendAndWait(copies)
+            ForwardingDecision::Wait(reason) if !copies.is_empty() => {
+                ForwardingDecision::SendAndWait(copies, reason)
             }
             ForwardingDecision::Drop(_) if !copies.is_empty() => ForwardingDecision::Send(copies),
             decision => decision,
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -46,8 +46,6 @@
     pub target_checks: ReasonCounter,
     /// Searches for the agent that holds a flow, and offers of openings.
     pub searches: Counter,
-    /// Segments whose flow was searched for so often that only unavailable agents got a copy.
-    pub searches_limited: Counter,
     /// Failed calls of the store, by call.
     pub store_failures: ReasonCounter,
     /// Times that the store has returned from an older copy.
@@ -84,7 +82,6 @@
             target_reports: Family::default(),
             target_checks: Family::default(),
             searches: Counter::default(),
-            searches_limited: Counter::default(),
             store_failures: Family::default(),
             store_eras: Gauge::default(),
             store_outdated_answers: Gauge::default(),
@@ -126,11 +123,6 @@
             metrics.target_checks.clone(),
         );
         registry.register("searches", "Searches for flows", metrics.searches.clone());
-        registry.register(
-            "searches_limited",
-            "Segments that were not searched for again",
-            metrics.searches_limited.clone(),
-        );
         registry.register("store_failures", "Failed store calls", metrics.store_failures.clone());
         registry.register("store_eras", "Returns of the store", metrics.store_eras.clone());
         registry.register(
--- a/tests/models_reconnect.rs
+++ b/tests/models_reconnect.rs
@@ -180,7 +180,7 @@
     fn apply_decision(&mut self, decision: ForwardingDecision, segment: Segment) {
         match decision {
             ForwardingDecision::Send(destinations)
-            | ForwardingDecision::SendAndWait(destinations) => {
+            | ForwardingDecision::SendAndWait(destinations, _) => {
                 for (agent, header) in destinations {
                     let octet = octet_of(agent);
                     self.schedule(
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -57,12 +57,11 @@
 /// Agents to which a decision sends the segment, one chain for each destination.
 fn chains(decision: ForwardingDecision) -> Vec<Vec<SocketAddrV4>> {
     match decision {
-        ForwardingDecision::Send(destinations) | ForwardingDecision::SendAndWait(destinations) => {
-            destinations
-                .into_iter()
-                .map(|(first, header)| std::iter::once(first).chain(header.chain).collect())
-                .collect()
-        }
+        ForwardingDecision::Send(destinations)
+        | ForwardingDecision::SendAndWait(destinations, _) => destinations
+            .into_iter()
+            .map(|(first, header)| std::iter::once(first).chain(header.chain).collect())
+            .collect(),
         other => panic!("expected a decision that sends the segment, got {other:?}"),
     }
 }
@@ -75,12 +74,11 @@
 /// The last agent of each destination's chain, and the search id.
 fn searches(decision: &ForwardingDecision) -> Vec<(SocketAddrV4, u32)> {
     match decision {
-        ForwardingDecision::Send(destinations) | ForwardingDecision::SendAndWait(destinations) => {
-            destinations
-                .iter()
-                .map(|(first, header)| (*header.chain.last().unwrap_or(first), header.search_id))
-                .collect()
-        }
+        ForwardingDecision::Send(destinations)
+        | ForwardingDecision::SendAndWait(destinations, _) => destinations
+            .iter()
+            .map(|(first, header)| (*header.chain.last().unwrap_or(first), header.search_id))
+            .collect(),
         other => panic!("expected a decision that sends the segment, got {other:?}"),
     }
 }
@@ -411,6 +409,45 @@
         let decision = balancer.decide(&segment_of(ONCE, 1), 202);
         assert_eq!(chains(decision), [[agent(22)]]);
     };
+    a_flow_that_has_just_opened_waits_for_its_target_and_not_for_others: {
+        // The agent stops between the opening and the first request; the flow is not confirmed yet.
+        let mut balancer = balancer();
+        let flow = segment_of(ONCE, 1).flow;
+        balancer.flow_locations.record_holder(flow, agent(22), false, 1);
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(stopping, 0, 1);
+        let decision = return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 2);
+        assert_eq!(decision, ForwardingDecision::Wait(WaitReason::NotAllAnswered));
+        balancer.waiting_segments.push(segment_of(ONCE, 1), &[], 2);
+        assert!(balancer.take_releasable(64, 200).is_empty());
+        let decision = balancer.decide(&segment_of(ONCE, 1), 202);
+        assert_eq!(chains(decision), [[agent(22)]]);
+        let back = TargetStatus { incarnation: 1_000, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(back, 0, 600);
+        assert_eq!(balancer.take_releasable(64, 601).len(), 1);
+        let decision = balancer.decide(&segment_of(ONCE, 1), 601);
+        assert_eq!(chains(decision), [[agent(22)]]);
+    };
+    segments_wait_for_a_holder_that_restarts: {
+        let mut balancer = balancer();
+        let flow = segment_of(ONCE, 1).flow;
+        balancer.flow_locations.record_holder(flow, agent(22), true, 1);
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(stopping, 0, 1);
+        let decision = balancer.decide(&segment_of(ONCE, 1), 2);
+        assert!(matches!(
+            decision,
+            ForwardingDecision::SendAndWait(_, WaitReason::HolderRestarting)
+        ));
+        balancer.waiting_segments.push(segment_of(ONCE, 1), &[], 2);
+        assert!(balancer.take_releasable(64, 500).is_empty());
+        let back = TargetStatus { incarnation: 1_000, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(back, 0, 600);
+        assert_eq!(balancer.take_releasable(64, 601).len(), 1);
+        assert_eq!(chains(balancer.decide(&segment_of(ONCE, 1), 601)), [[agent(22)]]);
+    };
     a_host_that_was_taken_away_holds_up_no_reset: {
         // The host's end is known from another balancer only: it stays awaited, as it announced that it stops.
         let mut balancer = balancer();
