Which instance of a target counts is decided by who goes on reporting, not by clocks and first reports

What callers saw: openings at targets whose draining had been confirmed, resets of open flows at targets that run, answers of another service.

Cause: an agent ordered the instances of its target by their start times, believed the first report after its own start, let the first report of a later start time displace a running target and ignored the displaced one for good, ended whoever had the id of a leave call, and confirmed with 200 what it ignored. A target whose reports stayed away counted as lost after 2.5 s though its host accepted connections; what waited in a socket during a pause was decided on before the pause was noticed. Class: one piece of input that is late, or another's, decides over what has been established.

Change, connection::target_instances alone decides: an instance takes another's place at once only if that has ended for certain; else it has to go on reporting while the other does not. Until then the draining, service and warm-up of both restrict openings. Draining is never taken back. Balancers remember an agent's instance and whether it drains, and give it back to the agent when it starts. A leave call ends the instance that it names; one that names none is checked at the host. A refused connection counts only if the target was not heard since. A target whose host accepts connections is not lost. Stalls are noticed before each input. A cold target gets nothing in the first 1.1 s of a restarted agent that has not seen its start.

Three cases of passthrough_gate.rs took the first report of a later start time for the next instance at once, which is the fault; there the instance before now ends first, and the new cases say what happens when it does not.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -11,5 +11,6 @@
 pub mod tag;
 pub mod target_gate;
 pub mod target_health;
+pub mod target_instances;
 pub mod tracked_flows;
 pub mod waiting_segments;
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -9,6 +9,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::connection::target_instances::Instance;
+use crate::connection::target_instances::KnownInstance;
+use crate::connection::target_instances::LeaveOutcome;
+use crate::connection::target_instances::TargetInstances;
+
 /// Sliding window for the rate limit on openings at a cold target, in milliseconds: the limit is per
 /// second, and the extra 100 ms cover the time that an opening may spend in transit.
 const COLD_WINDOW_MS: u64 = 1_100;
@@ -48,8 +53,11 @@
 /// Effect of a report on the known state of the target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportOutcome {
-    /// First report received from this instance of the target. Logs carry the name of the variant.
+    /// First report of the next instance of the target, after the one before has ended. Logs carry the name of
+    /// the variant.
     NewLife,
+    /// Another instance has proved that it runs in place of the one before.
+    Replaced,
     /// Changes state that balancers must be notified of.
     Changed,
     /// Changes nothing that balancers use.
@@ -63,6 +71,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             ReportOutcome::NewLife => "new-instance",
+            ReportOutcome::Replaced => "replaced",
             ReportOutcome::Changed => "changed",
             ReportOutcome::Same => "same",
             ReportOutcome::Ignored(reason) => reason.as_str(),
@@ -79,8 +88,9 @@
     EarlierSequence,
     /// The current instance has ended.
     HasEnded,
-    /// It names an earlier start than the current instance, which was seen recently.
-    EarlierStart,
+    /// It is from another instance than the current one, which may still run. Its draining, service and warm-up
+    /// restrict openings meanwhile.
+    Unproven,
 }
 
 impl IgnoredReason {
@@ -89,7 +99,7 @@
         IgnoredReason::PastInstance,
         IgnoredReason::EarlierSequence,
         IgnoredReason::HasEnded,
-        IgnoredReason::EarlierStart,
+        IgnoredReason::Unproven,
     ];
 
     /// Label in metrics and logs.
@@ -98,7 +108,7 @@
             IgnoredReason::PastInstance => "past-instance",
             IgnoredReason::EarlierSequence => "earlier-sequence",
             IgnoredReason::HasEnded => "has-ended",
-            IgnoredReason::EarlierStart => "earlier-start",
+            IgnoredReason::Unproven => "unproven",
         }
     }
 }
@@ -234,24 +244,15 @@
     }
 }
 
-#[derive(Debug)]
-struct TargetInstance {
-    report: TargetReport,
-    last_seen_ms: u64,
-    cold_until_ms: u64,
-    has_ended: bool,
-}
-
 /// State of an agent's target, and admission of new flows at it.
 #[derive(Debug)]
 pub struct TargetGate {
-    instance: Option<TargetInstance>,
-    past_instances: VecDeque<(String, u64)>,
-    has_seen_all_flows: bool,
-    /// Whether the target's host has refused a connection since the target was last seen, which means that
-    /// no process listens there.
-    is_connection_refused: bool,
+    instances: TargetInstances,
     timeout_ms: u64,
+    /// Start of this process, in milliseconds.
+    started_ms: u64,
+    /// Time at which the target's host last accepted a connection to it.
+    last_accepted_ms: Option<u64>,
     /// The target receives openings only if it was last seen at or after this time.
     stale_before_ms: u64,
     is_zone_out: bool,
@@ -260,23 +261,15 @@
     cold_openings_ms: VecDeque<u64>,
 }
 
-/// Sequence number of the first report of a target instance. Openings are forwarded only to an instance
-/// that has reported, so an agent that received this report has seen every flow of the instance.
-const FIRST_SEQUENCE: u64 = 1;
-
-/// Maximum number of past instances that are remembered to recognize their late reports.
-const MAX_PAST_INSTANCES: usize = 16;
-
 impl TargetGate {
     /// Creates the state of a target that has not reported yet. A target that was last seen `timeout_ms`
     /// ago or longer receives no openings, because its address may already belong to another service.
     pub fn new(timeout_ms: u64) -> TargetGate {
         TargetGate {
-            instance: None,
-            past_instances: VecDeque::new(),
-            has_seen_all_flows: false,
-            is_connection_refused: false,
+            instances: TargetInstances::new(timeout_ms),
             timeout_ms,
+            started_ms: 0,
+            last_accepted_ms: None,
             stale_before_ms: 0,
             is_zone_out: false,
             limits: None,
@@ -284,95 +277,63 @@
         }
     }
 
+    /// Sets the start of this process. Before that, another one may have admitted openings.
+    pub fn with_start(self, started_ms: u64) -> TargetGate {
+        TargetGate { started_ms, ..self }
+    }
+
     /// Applies a report from the target.
     pub fn apply_report(&mut self, report: TargetReport, now_ms: u64) -> ReportOutcome {
-        let is_past_instance =
-            |(id, started_ms): &(String, u64)| *id == report.id && *started_ms == report.started_ms;
-        if self.past_instances.iter().any(is_past_instance) {
-            return ReportOutcome::Ignored(IgnoredReason::PastInstance);
-        }
-        let cold_until_ms = now_ms.saturating_add(report.cold_remaining_ms);
-        let outcome = match &self.instance {
-            None => ReportOutcome::NewLife,
-            Some(instance) if is_same_instance(&instance.report, &report) => {
-                if instance.has_ended {
-                    return ReportOutcome::Ignored(IgnoredReason::HasEnded);
-                }
-                if report.sequence <= instance.report.sequence {
-                    return ReportOutcome::Ignored(IgnoredReason::EarlierSequence);
-                }
-                let is_same = instance.report.is_leaving == report.is_leaving
-                    && instance.report.service == report.service
-                    && instance.report.slots == report.slots
-                    && now_ms.saturating_sub(instance.last_seen_ms) < self.timeout_ms
-                    && (instance.cold_until_ms > now_ms) == (cold_until_ms > now_ms);
-                if is_same { ReportOutcome::Same } else { ReportOutcome::Changed }
-            }
-            Some(instance) => {
-                let is_responsive = now_ms.saturating_sub(instance.last_seen_ms) < self.timeout_ms;
-                if report.started_ms < instance.report.started_ms
-                    && is_responsive
-                    && !instance.has_ended
-                {
-                    return ReportOutcome::Ignored(IgnoredReason::EarlierStart);
-                }
-                ReportOutcome::NewLife
-            }
-        };
-        let was_connection_refused = std::mem::take(&mut self.is_connection_refused);
-        if outcome == ReportOutcome::NewLife {
-            self.has_seen_all_flows = was_connection_refused
-                || self.instance.is_some()
-                || report.sequence == FIRST_SEQUENCE;
-            self.remember_past_instance();
-        } else if was_connection_refused {
-            self.has_seen_all_flows = false;
-        }
-        self.instance =
-            Some(TargetInstance { report, last_seen_ms: now_ms, cold_until_ms, has_ended: false });
-        match outcome {
-            ReportOutcome::Same if was_connection_refused => ReportOutcome::Changed,
-            outcome => outcome,
-        }
+        self.instances.apply_report(report, now_ms)
     }
 
     /// Notes that the target's host refuses connections: the process has ended, and its flows with it.
     pub fn note_connection_refused(&mut self) {
-        self.is_connection_refused = true;
+        self.instances.note_connection_refused();
     }
 
-    /// Notes that the target has sent a segment. If its process was assumed to have ended, it may still
-    /// hold flows that this agent has dropped from its table.
-    pub fn note_target_traffic(&mut self) {
-        if std::mem::take(&mut self.is_connection_refused) {
-            self.has_seen_all_flows = false;
-        }
+    /// Notes that the target's host accepts connections: the process runs.
+    pub fn note_connection_accepted(&mut self, now_ms: u64) {
+        self.last_accepted_ms = Some(now_ms);
+    }
+
+    /// Notes that the target has sent a segment.
+    pub fn note_target_traffic(&mut self, now_ms: u64) {
+        self.instances.note_traffic(now_ms);
     }
 
     /// Whether the target may have ended, as it was last seen `since_last_seen_ms` ago.
     pub fn is_suspected(&self, since_last_seen_ms: u64) -> bool {
-        !self.has_ended() && since_last_seen_ms >= SUSPECT_AFTER_MS
-    }
-
-    /// Notes that the target instance `id` has shut down. Returns whether it was the current one and not
-    /// known to have ended.
-    pub fn note_shutdown(&mut self, id: &str) -> bool {
-        match &mut self.instance {
-            Some(instance) if instance.report.id == id && !instance.has_ended => {
-                instance.has_ended = true;
-                true
-            }
-            _ => false,
-        }
+        let is_missing = since_last_seen_ms >= SUSPECT_AFTER_MS;
+        !self.has_ended() && (is_missing || self.instances.is_leave_unverified())
+    }
+
+    /// Applies the call of the target `id` that it has shut down; `started_ms` is `None` if the call does not
+    /// name the instance.
+    pub fn note_leave(&mut self, id: &str, started_ms: Option<u64>) -> LeaveOutcome {
+        self.instances.note_leave(id, started_ms)
+    }
+
+    /// Whether a leave call has to be checked at the host.
+    pub fn is_leave_unverified(&self) -> bool {
+        self.instances.is_leave_unverified()
+    }
+
+    /// Takes over what a balancer knows of the target from before the start of this process.
+    pub fn note_known_instance(&mut self, known: KnownInstance) {
+        self.instances.note_known(known);
+    }
+
+    /// What balancers shall remember of the target: the hash of its instance and whether that drains.
+    pub fn instance_summary(&self) -> Option<(u64, bool)> {
+        self.instances.summary()
     }
 
     /// Notes that the target has sent a segment of a flow that it holds, so the current instance is alive.
     pub fn note_seen(&mut self, now_ms: u64) {
-        if let Some(instance) = &mut self.instance
-            && !instance.has_ended
-            && instance.last_seen_ms >= self.stale_before_ms
-        {
-            instance.last_seen_ms = now_ms;
+        let is_stale = |instance: &Instance| instance.last_seen_ms < self.stale_before_ms;
+        if !self.instances.current().is_some_and(is_stale) {
+            self.instances.note_seen(now_ms);
         }
     }
 
@@ -403,25 +364,32 @@
 
     /// Last report of the current target instance.
     pub fn current_report(&self) -> Option<&TargetReport> {
-        self.instance.as_ref().map(|instance| &instance.report)
+        self.instances.current().map(|instance| &instance.report)
     }
 
     /// Time since the target was last seen, in milliseconds; `None` before its first report.
     pub fn ms_since_last_seen(&self, now_ms: u64) -> Option<u64> {
-        self.instance.as_ref().map(|instance| now_ms.saturating_sub(instance.last_seen_ms))
+        self.instances.current().map(|instance| now_ms.saturating_sub(instance.last_seen_ms))
     }
 
-    /// Whether this process has observed the current instance from its start and therefore, as all segments
-    /// to a target pass through its agent, every flow of it. This holds if it knew the previous instance,
-    /// had seen a connection refused before the first report, or received the report with sequence number 1.
+    /// Time since the target's host last accepted a connection to it, in milliseconds.
+    pub fn ms_since_accepted(&self, now_ms: u64) -> Option<u64> {
+        self.last_accepted_ms.map(|accepted_ms| now_ms.saturating_sub(accepted_ms))
+    }
+
+    /// Time of the last report or segment of the target, in milliseconds.
+    pub fn last_heard_ms(&self) -> u64 {
+        self.instances.last_heard_ms()
+    }
+
+    /// Whether this process has observed the current instance from its start and therefore every flow of it.
     pub fn has_seen_all_flows(&self) -> bool {
-        self.has_seen_all_flows
+        self.instances.has_seen_all_flows()
     }
 
     /// Whether no process of the target runs: it has shut down, or its host refuses connections.
     pub fn has_ended(&self) -> bool {
-        self.is_connection_refused
-            || self.instance.as_ref().is_some_and(|instance| instance.has_ended)
+        self.instances.has_ended()
     }
 
     /// Phase that is reported to balancers.
@@ -429,14 +397,14 @@
         if self.has_ended() {
             return TargetPhase::Ended;
         }
-        let Some(instance) = &self.instance else {
+        let Some(instance) = self.instances.current() else {
             return TargetPhase::Unknown;
         };
-        if instance.report.is_leaving {
+        if self.is_any_leaving(now_ms) {
             TargetPhase::Leaving
         } else if !self.is_fresh(instance, now_ms) {
             TargetPhase::Unknown
-        } else if instance.cold_until_ms > now_ms {
+        } else if self.is_any_cold(now_ms) {
             TargetPhase::Cold
         } else {
             TargetPhase::Serving
@@ -467,29 +435,42 @@
         load: TargetLoad,
         now_ms: u64,
     ) -> Result<(), RefusalReason> {
-        let instance = self.instance.as_ref().ok_or(RefusalReason::TargetSilent)?;
-        if self.is_connection_refused {
+        let instance = self.instances.current().ok_or(RefusalReason::TargetSilent)?;
+        if self.instances.is_connection_refused() {
             return Err(RefusalReason::TargetSilent);
         }
-        if instance.has_ended || instance.report.is_leaving {
+        if self.has_ended() || self.is_any_leaving(now_ms) {
             return Err(RefusalReason::Leaving);
         }
         if !self.is_fresh(instance, now_ms) {
             return Err(RefusalReason::TargetSilent);
         }
-        if instance.report.service != offer.service {
+        if self.running_instances(now_ms).any(|running| running.report.service != offer.service) {
             return Err(RefusalReason::OtherService);
         }
         if self.is_zone_out {
             return Err(RefusalReason::ZoneOut);
         }
-        let is_cold = instance.cold_until_ms > now_ms;
         let limits = self.current_limits();
         // The target may already hold the flow, which is then part of the load.
         if !offer.is_retransmission {
             check_load(offer, load, instance.report.slots, limits)?;
         }
-        if is_cold { self.admit_cold(limits, now_ms) } else { Ok(()) }
+        if self.is_any_cold(now_ms) { self.admit_cold(limits, now_ms) } else { Ok(()) }
+    }
+
+    /// Instances one of which is what runs: the current one, and those that report beside it.
+    fn running_instances(&self, now_ms: u64) -> impl Iterator<Item = &Instance> {
+        self.instances.current().into_iter().chain(self.instances.unproven(now_ms))
+    }
+
+    fn is_any_leaving(&self, now_ms: u64) -> bool {
+        let mut unproven = self.instances.unproven(now_ms);
+        self.instances.is_leaving() || unproven.any(|instance| instance.is_leaving)
+    }
+
+    fn is_any_cold(&self, now_ms: u64) -> bool {
+        self.running_instances(now_ms).any(|running| running.cold_until_ms > now_ms)
     }
 
     fn admit_cold(
@@ -500,6 +481,11 @@
         let Some(limit) = limits.ok_or(RefusalReason::LimitsUnknown)?.cold_openings_per_s else {
             return Ok(());
         };
+        // The process before this one may have used the limit up.
+        let has_predecessor = !self.has_seen_all_flows();
+        if has_predecessor && now_ms.saturating_sub(self.started_ms) < COLD_WINDOW_MS {
+            return Err(RefusalReason::Cold);
+        }
         while let Some(oldest_ms) = self.cold_openings_ms.front()
             && now_ms.saturating_sub(*oldest_ms) > COLD_WINDOW_MS
         {
@@ -512,20 +498,10 @@
         Ok(())
     }
 
-    fn is_fresh(&self, instance: &TargetInstance, now_ms: u64) -> bool {
+    fn is_fresh(&self, instance: &Instance, now_ms: u64) -> bool {
         instance.last_seen_ms >= self.stale_before_ms
             && now_ms.saturating_sub(instance.last_seen_ms) < self.timeout_ms
     }
-
-    fn remember_past_instance(&mut self) {
-        let Some(instance) = self.instance.take() else {
-            return;
-        };
-        self.past_instances.push_back((instance.report.id, instance.report.started_ms));
-        if self.past_instances.len() > MAX_PAST_INSTANCES {
-            self.past_instances.pop_front();
-        }
-    }
 }
 
 /// Checks the load of the target against the limits on flows and busy slots.
@@ -548,7 +524,3 @@
     }
     Ok(())
 }
-
-fn is_same_instance(current: &TargetReport, received: &TargetReport) -> bool {
-    current.id == received.id && current.started_ms == received.started_ms
-}
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -20,6 +20,7 @@
 use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetPhase;
 use crate::connection::target_gate::TargetReport;
+use crate::connection::target_instances::LeaveOutcome;
 use crate::error::Error;
 use crate::error::Result;
 use crate::log_event;
@@ -49,15 +50,12 @@
 use crate::process::passthrough::settings::PassthroughAgentSettings;
 use crate::process::passthrough::target_presence;
 use crate::process::signals;
+use crate::version::target_status::TargetInstanceSummary;
 use crate::version::target_status::TargetStatus;
 
 /// Interval of the periodic task.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time between two runs of the periodic task, in milliseconds, above which the process was stalled and the
-/// target's reports count as outdated.
-const STALL_THRESHOLD_MS: u64 = 750;
-
 /// Time without a probe from any balancer, in milliseconds, after which the status is sent to the seeds and
 /// to the balancers registered in the store. Balancers probe every 300 ms.
 const PROBE_TIMEOUT_MS: u64 = 2_000;
@@ -91,6 +89,8 @@
     pub(super) status_changed: Notify,
     /// Wakes the task that introduces the agent to the balancers.
     pub(super) introduction_due: Notify,
+    /// Wakes the task that checks the target's process.
+    pub(super) check_due: Notify,
     pub(super) metrics: PassthroughMetrics,
     pub(super) data_socket: UdpSocket,
     pub(super) control_socket: UdpSocket,
@@ -118,6 +118,7 @@
         is_stopping: AtomicBool::new(false),
         status_changed: Notify::new(),
         introduction_due: Notify::new(),
+        check_due: Notify::new(),
         metrics: PassthroughMetrics::new(),
         data_socket: bind(settings.node.data_address).await?,
         control_socket: bind(settings.node.control_address).await?,
@@ -182,8 +183,13 @@
         self.clock.now_ms()
     }
 
+    /// The state, for an input at the current time.
     pub(super) fn state(&self) -> MutexGuard<'_, AgentState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(stall_ms) = state.note_time(self.now_ms()) {
+            log_event!(Event::ProcessStalled, "for_ms={stall_ms}");
+        }
+        state
     }
 
     pub(super) fn balancers(&self) -> MutexGuard<'_, IndexMap<SocketAddrV4, u64>> {
@@ -213,6 +219,10 @@
             flows: state.flows.open_count(),
             busy: state.flows.busy_count(),
             is_stopping: self.is_stopping.load(Ordering::Relaxed),
+            instance: state
+                .gate
+                .instance_summary()
+                .map(|(hash, is_leaving)| TargetInstanceSummary { hash, is_leaving }),
         })
     }
 
@@ -258,21 +268,16 @@
             report.cold_remaining_ms,
             report.sequence
         );
-        let outcome = {
-            let mut state = self.state();
-            let outcome = state.gate.apply_report(report, now_ms);
-            if outcome == ReportOutcome::NewLife {
-                state.clear_flows_and_health();
-            }
-            outcome
-        };
+        let outcome = self.state().apply_report(report, now_ms);
         count(&self.metrics.target_reports, outcome.as_str());
         match outcome {
             ReportOutcome::Same => {}
             ReportOutcome::Ignored(reason) => {
                 log_event!(Event::ReportIgnored, "reason={} {details}", reason.as_str());
+                // An instance that is not proved to run restricts the openings.
+                self.status_changed.notify_one();
             }
-            ReportOutcome::NewLife | ReportOutcome::Changed => {
+            ReportOutcome::NewLife | ReportOutcome::Replaced | ReportOutcome::Changed => {
                 log_event!(Event::TargetAnnounced, "{details} outcome={outcome:?}");
                 self.status_changed.notify_one();
                 self.introduction_due.notify_one();
@@ -281,17 +286,15 @@
         outcome
     }
 
-    fn leave(&self, id: &str) {
-        let has_ended = {
-            let mut state = self.state();
-            let has_ended = state.gate.note_shutdown(id);
-            if has_ended {
-                state.clear_flows_and_health();
-            }
-            has_ended
-        };
-        log_event!(Event::TargetLeaving, "target={id} known={has_ended}");
+    fn leave(&self, id: &str, started_ms: Option<u64>) -> LeaveOutcome {
+        let outcome = self.state().note_leave(id, started_ms);
+        log_event!(
+            Event::TargetLeaving,
+            "target={id} started_ms={started_ms:?} outcome={outcome:?}"
+        );
+        self.check_due.notify_one();
         self.status_changed.notify_one();
+        outcome
     }
 
     fn note_malformed_report(&self, message: &str) {
@@ -340,7 +343,6 @@
 async fn run_timers(shared: Arc<Shared>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last_tick_ms = shared.now_ms();
     let started_ms = shared.now_ms();
     let mut seeds_notified_ms = 0;
     let mut phase = TargetPhase::Unknown;
@@ -349,14 +351,9 @@
         let now_ms = shared.now_ms();
         let new_phase = {
             let mut state = shared.state();
-            if now_ms - last_tick_ms > STALL_THRESHOLD_MS {
-                log_event!(Event::ProcessStalled, "for_ms={}", now_ms - last_tick_ms);
-                state.note_stall(now_ms);
-            }
             state.expire(now_ms);
             state.phase(now_ms)
         };
-        last_tick_ms = now_ms;
         if new_phase != phase {
             log_event!(Event::TargetChanged, "phase={new_phase:?} before={phase:?}");
             phase = new_phase;
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -9,10 +9,13 @@
 use crate::connection::segment::Segment;
 use crate::connection::target_gate::OpeningOffer;
 use crate::connection::target_gate::RefusalReason;
+use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetGate;
 use crate::connection::target_gate::TargetLoad;
 use crate::connection::target_gate::TargetPhase;
+use crate::connection::target_gate::TargetReport;
 use crate::connection::target_health::TargetHealth;
+use crate::connection::target_instances::LeaveOutcome;
 use crate::connection::tracked_flows::AnswerEvent;
 use crate::connection::tracked_flows::BUSY_TIMEOUT_MS;
 use crate::connection::tracked_flows::FlowState;
@@ -27,9 +30,14 @@
 const MAX_PENDING_SEGMENTS: u32 = 4096;
 
 /// Time without a report or segment from the target, in milliseconds, after which its flows count as lost.
-/// A live target reports or answers within two seconds, and its address is reused no sooner.
+/// A live target reports or answers within two seconds, and its address is reused no sooner. Its host accepts
+/// connections all the while, which is checked once a report is missing.
 const TARGET_LOST_MS: u64 = 2_500;
 
+/// Time between two inputs, in milliseconds, above which the process was stalled and the target's reports count
+/// as outdated. The periodic task alone runs three times as often.
+const STALL_THRESHOLD_MS: u64 = 750;
+
 /// Idle time-out of flows, in milliseconds, until a probe brings the configured one.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 
@@ -143,6 +151,8 @@
     idle_timeout_ms: u64,
     /// Start of this process, or the end of its last stall.
     running_since_ms: u64,
+    /// Time of the last input.
+    last_input_ms: u64,
 }
 
 impl AgentState {
@@ -150,7 +160,7 @@
     /// `target_timeout_ms`.
     pub fn new(incarnation: u64, target_timeout_ms: u64, now_ms: u64) -> AgentState {
         AgentState {
-            gate: TargetGate::new(target_timeout_ms),
+            gate: TargetGate::new(target_timeout_ms).with_start(now_ms),
             flows: TrackedFlows::new(),
             health: TargetHealth::new(),
             introduction: Introduction::new(incarnation),
@@ -160,7 +170,41 @@
             configuration_position: StorePosition::default(),
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             running_since_ms: now_ms,
+            last_input_ms: now_ms,
+        }
+    }
+
+    /// Notes that the process runs. Called before each input, as what waited during a stall is decided on before
+    /// any timer runs. Returns the length of the stall that has just ended, in milliseconds, if there was one.
+    pub fn note_time(&mut self, now_ms: u64) -> Option<u64> {
+        let idle_ms = now_ms.saturating_sub(self.last_input_ms);
+        self.last_input_ms = self.last_input_ms.max(now_ms);
+        if idle_ms <= STALL_THRESHOLD_MS {
+            return None;
+        }
+        self.note_stall(now_ms);
+        Some(idle_ms)
+    }
+
+    /// Applies a report from the target.
+    pub fn apply_report(&mut self, report: TargetReport, now_ms: u64) -> ReportOutcome {
+        let outcome = self.gate.apply_report(report, now_ms);
+        match outcome {
+            ReportOutcome::NewLife => self.clear_flows_and_health(),
+            // Flows of the new instance may have opened before it was proved to run.
+            ReportOutcome::Replaced => self.health = TargetHealth::new(),
+            ReportOutcome::Changed | ReportOutcome::Same | ReportOutcome::Ignored(_) => {}
         }
+        outcome
+    }
+
+    /// Applies the target's call that it leaves. See [`TargetGate::note_leave`].
+    pub fn note_leave(&mut self, id: &str, started_ms: Option<u64>) -> LeaveOutcome {
+        let outcome = self.gate.note_leave(id, started_ms);
+        if outcome == LeaveOutcome::Ended {
+            self.clear_flows_and_health();
+        }
+        outcome
     }
 
     /// Phase for a status to these balancers. A status after the end of a target has a new incarnation.
@@ -190,6 +234,12 @@
     /// none or it is older than the one in force. Returns whether it was applied.
     pub fn apply_probe(&mut self, probe: &Probe, now_ms: u64) -> bool {
         self.introduction.note_probe_from(probe.balancer, probe.known_incarnation, now_ms);
+        if let Some(known) = probe.known_instance
+            && known.as_of.0 < self.introduction.incarnation()
+            && !self.introduction.is_complete(now_ms)
+        {
+            self.gate.note_known_instance(known);
+        }
         let position = probe.configuration.or_in_era(self.configuration_position.era);
         if position.revision == 0 || position < self.configuration_position {
             return false;
@@ -244,7 +294,7 @@
         if segment.is_bounced {
             return self.handle_bounced_segment(segment, now_ms);
         }
-        self.gate.note_target_traffic();
+        self.gate.note_target_traffic(now_ms);
         let flow_state = self.flows.flow_state(&segment.flow);
         // A target that has just started, and not reported yet, resets segments of a search instead of
         // bouncing them.
@@ -282,10 +332,15 @@
         self.gate.is_suspected(unseen_ms)
     }
 
-    /// Records that the host refuses connections to the target, so no process of it runs.
-    pub fn note_target_not_running(&mut self) {
+    /// Records that the host has refused a connection to the target, so no process of it runs, unless a new one
+    /// was heard since the attempt began. Returns whether that counts.
+    pub fn note_target_not_running(&mut self, checked_since_ms: u64) -> bool {
+        if self.gate.last_heard_ms() > checked_since_ms {
+            return false;
+        }
         self.gate.note_connection_refused();
         self.clear_flows_and_health();
+        true
     }
 
     /// Clears flows and health, as the target's process has ended, left or been replaced.
@@ -393,7 +448,8 @@
             return Some(NotHeldReason::TargetEnded);
         }
         let running_ms = now_ms.saturating_sub(self.running_since_ms);
-        let unseen_ms = self.gate.ms_since_last_seen(now_ms).unwrap_or(running_ms);
+        let seen_ms = self.gate.ms_since_last_seen(now_ms).unwrap_or(running_ms);
+        let unseen_ms = self.gate.ms_since_accepted(now_ms).map_or(seen_ms, |ms| ms.min(seen_ms));
         let is_silent = unseen_ms > TARGET_LOST_MS && running_ms > TARGET_LOST_MS;
         is_silent.then_some(NotHeldReason::TargetSilent)
     }
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -235,6 +235,7 @@
             },
             idle_timeout_ms: configuration.map_or(0, |configuration| configuration.idle_timeout_ms),
             known_incarnation: status.map_or(0, |status| status.incarnation),
+            known_instance: state.targets.known_instance(agent.data),
         }
     }
 
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -9,11 +9,13 @@
 use crate::connection::flow_key::unpack_address;
 use crate::connection::target_gate::TargetLimits;
 use crate::connection::target_gate::TargetPhase;
+use crate::connection::target_instances::KnownInstance;
 use crate::log_event;
 use crate::process::events::Event;
 use crate::version::balancer_table::BalancerUpdate;
 use crate::version::balancer_table::ZoneUpdate;
 use crate::version::store_position::ReportedPosition;
+use crate::version::target_status::TargetInstanceSummary;
 use crate::version::target_status::TargetLoadReport;
 use crate::version::target_status::TargetStatus;
 use crate::version::target_status::TargetUpdate;
@@ -38,6 +40,8 @@
     pub idle_timeout_ms: u64,
     /// Newest incarnation of the agent that the balancer knows; 0 if it knows none.
     pub known_incarnation: u64,
+    /// Instance of the agent's target that the balancer remembers.
+    pub known_instance: Option<KnownInstance>,
 }
 
 /// Gossip of a balancer: its own state, and updates on other balancers, zones and agents.
@@ -121,6 +125,12 @@
                 max_flows: probe.limits.max_flows,
                 idle_timeout_ms: u32::try_from(probe.idle_timeout_ms).unwrap_or(u32::MAX),
                 known_lifetime: probe.known_incarnation,
+                known_instance: probe.known_instance.map(|known| wire::TargetInstance {
+                    hash: known.hash,
+                    leaving: known.is_leaving,
+                }),
+                known_instance_lifetime: probe.known_instance.map_or(0, |known| known.as_of.0),
+                known_instance_sequence: probe.known_instance.map_or(0, |known| known.as_of.1),
             }),
             NodeMessage::Status(status) => Kind::Status(status_to_wire(status)),
             NodeMessage::FlowFound { flow, holder, is_confirmed } => Kind::Found(wire::FlowFound {
@@ -157,6 +167,11 @@
                 },
                 idle_timeout_ms: u64::from(probe.idle_timeout_ms),
                 known_incarnation: probe.known_lifetime,
+                known_instance: probe.known_instance.map(|known| KnownInstance {
+                    hash: known.hash,
+                    is_leaving: known.leaving,
+                    as_of: (probe.known_instance_lifetime, probe.known_instance_sequence),
+                }),
             }),
             Kind::Status(status) => NodeMessage::Status(status_from_wire(status)?),
             Kind::Found(found) => {
@@ -199,6 +214,10 @@
         flows: status.flows,
         busy: status.busy,
         stopping: status.is_stopping,
+        instance: status.instance.map(|instance| wire::TargetInstance {
+            hash: instance.hash,
+            leaving: instance.is_leaving,
+        }),
     }
 }
 
@@ -223,6 +242,10 @@
         flows: status.flows,
         busy: status.busy,
         is_stopping: status.stopping,
+        instance: status.instance.map(|instance| TargetInstanceSummary {
+            hash: instance.hash,
+            is_leaving: instance.leaving,
+        }),
     })
 }
 
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -36,6 +36,7 @@
 use crate::connection::segment::SegmentCodec;
 use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetReport;
+use crate::connection::target_instances::LeaveOutcome;
 use crate::process::store::Store;
 use crate::version::routing::OperatorItem;
 
@@ -66,11 +67,12 @@
 
 /// Receiver of a target's reports on itself.
 pub trait TargetReportHandler: Send + Sync {
-    /// Applies a report. A stale report is confirmed too, so that its sender does not retry at another agent.
+    /// Applies a report.
     fn report(&self, report: TargetReport) -> ReportOutcome;
 
-    /// Records that the target with this id has left and will not return.
-    fn leave(&self, id: &str);
+    /// Applies the call of the target with this id that it has left; `started_ms` is its start time, in Unix
+    /// milliseconds, if the call names it.
+    fn leave(&self, id: &str, started_ms: Option<u64>) -> LeaveOutcome;
 
     /// Logs a report that does not parse.
     fn note_malformed_report(&self, message: &str);
--- a/src/process/passthrough/target_presence.rs
+++ b/src/process/passthrough/target_presence.rs
@@ -18,6 +18,10 @@
 /// Time between two checks of a target that is suspected to have ended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between two checks after a leave call that may have been of an earlier instance: the target ends within
+/// milliseconds if the call was its own.
+const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Time-out of the connection, which stays on the agent's own host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -25,7 +29,12 @@
 pub(super) async fn monitor(shared: Arc<Shared>) {
     check_process(&shared).await;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        let is_leave_unverified = shared.state().gate.is_leave_unverified();
+        let interval = if is_leave_unverified { LEAVE_CHECK_INTERVAL } else { CHECK_INTERVAL };
+        tokio::select! {
+            () = sleep(interval) => {}
+            () = shared.check_due.notified() => continue,
+        }
         let is_suspected = shared.state().is_target_suspected(shared.now_ms());
         if is_suspected {
             check_process(&shared).await;
@@ -35,6 +44,7 @@
 
 /// Tries to connect to the target, and records that it has ended if its host refuses the connection.
 pub(super) async fn check_process(shared: &Shared) {
+    let checked_since_ms = shared.now_ms();
     let connecting = TcpStream::connect(SocketAddr::V4(shared.settings.target_address));
     let outcome = match timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(_)) => "accepted",
@@ -43,8 +53,14 @@
         Err(_) => "timed-out",
     };
     count(&shared.metrics.target_checks, outcome);
-    if outcome == "refused" {
-        shared.state().note_target_not_running();
-        shared.status_changed.notify_one();
+    match outcome {
+        "accepted" => {
+            let now_ms = shared.now_ms();
+            shared.state().gate.note_connection_accepted(now_ms);
+        }
+        "refused" if shared.state().note_target_not_running(checked_since_ms) => {
+            shared.status_changed.notify_one();
+        }
+        _ => {}
     }
 }
--- a/src/version/target_status.rs
+++ b/src/version/target_status.rs
@@ -29,6 +29,17 @@
     pub busy: u32,
     /// Whether the agent is shutting down.
     pub is_stopping: bool,
+    /// The target instance that counts at the agent; `None` if none runs or is known.
+    pub instance: Option<TargetInstanceSummary>,
+}
+
+/// What balancers remember of a target's instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetInstanceSummary {
+    /// Hash that stands for the instance.
+    pub hash: u64,
+    /// Whether it is draining.
+    pub is_leaving: bool,
 }
 
 /// Update that one balancer sends to another about an agent.
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::connection::target_gate::TargetPhase;
+use crate::connection::target_instances::KnownInstance;
 use crate::version::hash::hash64;
 use crate::version::rotation::Rotation;
 use crate::version::target_status::TargetLoadReport;
@@ -59,6 +60,8 @@
     introduction_probed_ms: Option<u64>,
     /// Time since when another balancer alone has reported that its target has ended.
     end_relayed_ms: Option<u64>,
+    /// Instance of its target that its last statuses named, until that has ended.
+    known_instance: Option<KnownInstance>,
     /// Change by which searches could ask the agent; `None` while they cannot.
     availability_change: Option<u64>,
 }
@@ -164,6 +167,7 @@
             is_end_direct: false,
             introduction_probed_ms: None,
             end_relayed_ms: None,
+            known_instance: None,
             availability_change: None,
         };
         self.targets.insert(data, entry);
@@ -227,6 +231,18 @@
             if status.is_stopping { now_ms + self.restart_grace_ms } else { 0 };
         entry.control = status.control;
         entry.zone.clone_from(&status.zone);
+        match status.instance {
+            Some(instance) => {
+                entry.known_instance = Some(KnownInstance {
+                    hash: instance.hash,
+                    is_leaving: instance.is_leaving,
+                    as_of: (status.incarnation, status.sequence),
+                });
+            }
+            None if has_ended => entry.known_instance = None,
+            // An agent that has just started has not heard its target yet.
+            None => {}
+        }
         let load = status.load();
         entry.status = Some(status);
         entry.apply_load(&load, sent_ms);
@@ -276,6 +292,11 @@
         Some(AgentAddresses { data, control: entry.control, zone: &entry.zone })
     }
 
+    /// Instance of an agent's target that its last statuses named, until that has ended.
+    pub fn known_instance(&self, data: SocketAddrV4) -> Option<KnownInstance> {
+        self.targets.get(&data)?.known_instance
+    }
+
     /// The last status of an agent.
     pub fn status(&self, data: SocketAddrV4) -> Option<&TargetStatus> {
         self.targets.get(&data)?.status.as_ref()
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -343,6 +343,24 @@
     /// Era of the store in which the revision was given out; absent in builds that know no eras.
     #[prost(uint64, optional, tag = "9")]
     pub era: ::core::option::Option<u64>,
+    /// Instance of the agent's target that the balancer remembers, with the run and the sequence number of the
+    /// status that it is from; absent if it remembers none.
+    #[prost(message, optional, tag = "10")]
+    pub known_instance: ::core::option::Option<TargetInstance>,
+    #[prost(fixed64, tag = "11")]
+    pub known_instance_lifetime: u64,
+    #[prost(uint64, tag = "12")]
+    pub known_instance_sequence: u64,
+}
+/// An instance of a target.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetInstance {
+    /// Hash of its id and start time.
+    #[prost(fixed64, tag = "1")]
+    pub hash: u64,
+    /// It is draining.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
 }
 /// What an agent says of itself and of its target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -372,6 +390,9 @@
     /// The agent stops; its target may live on and be served by the agent's next run.
     #[prost(bool, tag = "11")]
     pub stopping: bool,
+    /// Instance of the target that counts at the agent; absent if none runs.
+    #[prost(message, optional, tag = "12")]
+    pub instance: ::core::option::Option<TargetInstance>,
 }
 /// An agent tells a balancer that its target holds a flow.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -16,6 +16,7 @@
 use rhubarbthread::connection::target_gate::TargetLoad;
 use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::connection::target_gate::TargetReport;
+use rhubarbthread::connection::target_instances::LeaveOutcome;
 use rhubarbthread::connection::tracked_flows::FlowState;
 use rhubarbthread::connection::tracked_flows::TrackedFlows;
 use rhubarbthread::process::passthrough::agent_state::Action;
@@ -115,6 +116,7 @@
         limits: TargetLimits { cold_openings_per_s: None, max_flows: 10 },
         idle_timeout_ms: 0,
         known_incarnation: INCARNATION,
+        known_instance: None,
     }
 }
 
@@ -159,6 +161,7 @@
         limits: TargetLimits { cold_openings_per_s: None, max_flows: 10 },
         idle_timeout_ms: 0,
         known_incarnation: INCARNATION,
+        known_instance: None,
     }
 }
 
@@ -185,6 +188,7 @@
     };
     a_late_report_of_a_past_life_changes_nothing: {
         let mut gate = gate();
+        gate.note_connection_refused();
         assert_eq!(gate.apply_report(report("b", 5, 1), 1), ReportOutcome::NewLife);
         assert_eq!(gate.apply_report(report("a", 1, 9), 2), ignored(IgnoredReason::PastInstance));
         assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("b"));
@@ -198,11 +202,12 @@
     a_target_that_starts_again_under_its_id_is_another_life: {
         let mut gate = gate();
         gate.apply_report(report("a", 1, 50), 1);
+        assert_eq!(gate.note_leave("a", Some(1)), LeaveOutcome::Ended);
         assert_eq!(gate.apply_report(report("a", 8, 1), 2), ReportOutcome::NewLife);
     };
     a_target_that_has_left_stays_so: {
         let mut gate = gate();
-        assert!(gate.note_shutdown("a"));
+        assert_eq!(gate.note_leave("a", Some(1)), LeaveOutcome::Ended);
         assert_eq!(gate.apply_report(report("a", 1, 9), 1), ignored(IgnoredReason::HasEnded));
         assert_eq!(gate.phase(1), TargetPhase::Ended);
     };
@@ -211,7 +216,7 @@
         // for up to 8 s if the agent was stopped before the first report.
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
         assert_eq!(agent.phase(1), TargetPhase::Unknown);
-        agent.note_target_not_running();
+        agent.note_target_not_running(1);
         assert_eq!(agent.phase(1), TargetPhase::Ended);
         assert!(agent.gate.has_ended());
         let action = agent.handle_node_segment(&segment(1), header(&[], 7), 2);
@@ -236,7 +241,7 @@
         assert!(!gate.has_seen_all_flows());
         assert_eq!(admit(&mut gate, 3), Ok(()));
         gate.note_connection_refused();
-        gate.note_target_traffic();
+        gate.note_target_traffic(4);
         assert!(!gate.has_ended());
         assert!(!gate.has_seen_all_flows());
     };
@@ -244,7 +249,7 @@
         let mut agent = agent();
         assert!(!agent.is_target_suspected(999));
         assert!(agent.is_target_suspected(1_000));
-        agent.note_target_not_running();
+        agent.note_target_not_running(1);
         assert!(!agent.is_target_suspected(2_000));
     };
     a_zone_that_comes_back_waits_for_a_report: {
@@ -496,8 +501,8 @@
     };
     an_agent_that_saw_the_whole_life_answers_without_the_target: {
         let mut agent = agent();
-        agent.gate.apply_report(report("b", 5, 1), 1);
-        agent.clear_flows_and_health();
+        agent.note_leave("a", Some(1));
+        agent.apply_report(report("b", 5, 1), 1);
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 2),
             returned_to_balancer(4, NotHeldReason::UnknownFlow)
@@ -597,7 +602,7 @@
         let mut agent = starting_agent(&[registered]);
         agent.apply_probe(&probe_from(registered), 1);
         assert!(agent.introduction.is_complete(2));
-        agent.note_target_not_running();
+        agent.note_target_not_running(1);
         assert_eq!(agent.phase_to_report(&[told], 3), TargetPhase::Ended);
         agent.gate.apply_report(report("b", 9, 1), 1_000);
         // A balancer that missed the end may offer a flow before the first status of the new target.
@@ -617,7 +622,7 @@
     an_agent_is_introduced_only_once_its_target_runs: {
         let balancer = address(9, 7720);
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-        agent.note_target_not_running();
+        agent.note_target_not_running(1);
         agent.introduction.note_registered_balancers(IndexSet::from([balancer]));
         assert_eq!(agent.balancers_to_notify(1), None);
         agent.gate.apply_report(report("a", 1, 1), 5_000);
@@ -628,7 +633,7 @@
     };
     a_target_that_nobody_was_told_has_ended_needs_no_second_introduction: {
         let mut agent = agent();
-        agent.note_target_not_running();
+        agent.note_target_not_running(1);
         agent.gate.apply_report(report("b", 9, 1), 10);
         agent.phase_to_report(&[address(9, 7720)], 11);
         assert!(agent.introduction.is_complete(11));
--- a/tests/support/passthrough.rs
+++ b/tests/support/passthrough.rs
@@ -65,6 +65,7 @@
         flows: 0,
         busy: 0,
         is_stopping: false,
+        instance: None,
     }
 }
 
