A stalled balancer takes no agent for silent; balancers keep an agent's instance until it is introduced

Cause: the stall was noticed by a timer. Segments that waited in the socket were decided on before that, with answers to probes still unread, so that an agent counted as silent for 1.2 s of which the balancer stood still.

Change: the state notes the time before each input; after a gap of 0.6 s no agent is silent and not all agents are known. Test that failed before: no_agent_is_silent_for_answers_that_a_stalled_balancer_could_not_receive (HolderSilent).

A host that refuses connections makes what balancers remember void: a target that starts after a power failure counts at its first report.

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -1,7 +1,7 @@
 //! A balancer's cache of the agents that hold flows, and the state of its searches and offers.
 //!
 //! The cache saves hops and is not needed for correctness: a flow without an entry is searched for. It is
-//! bounded to [`MAX_FLOW_LOCATIONS`] entries of about 60 bytes.
+//! bounded to [`MAX_FLOW_LOCATIONS`] entries of about 150 bytes.
 
 use std::net::SocketAddrV4;
 use std::ops::RangeInclusive;
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -13,6 +13,7 @@
 use crate::connection::target_instances::KnownInstance;
 use crate::connection::target_instances::LeaveOutcome;
 use crate::connection::target_instances::TargetInstances;
+use crate::version::target_status::TargetInstanceSummary;
 
 /// Sliding window for the rate limit on openings at a cold target, in milliseconds: the limit is per
 /// second, and the extra 100 ms cover the time that an opening may spend in transit.
@@ -324,8 +325,8 @@
         self.instances.note_known(known);
     }
 
-    /// What balancers shall remember of the target: the hash of its instance and whether that drains.
-    pub fn instance_summary(&self) -> Option<(u64, bool)> {
+    /// What balancers shall remember of the target.
+    pub fn instance_summary(&self) -> Option<TargetInstanceSummary> {
         self.instances.summary()
     }
 
--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -13,6 +13,7 @@
 use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetReport;
 use crate::version::hash::hash64;
+use crate::version::target_status::TargetInstanceSummary;
 
 /// Sequence number of the first report of a target instance. Openings are forwarded only to an instance
 /// that has reported, so an agent that received this report has seen every flow of the instance.
@@ -210,13 +211,14 @@
         self.last_heard_ms
     }
 
-    /// What balancers shall remember of the target: its hash and whether it drains.
-    pub fn summary(&self) -> Option<(u64, bool)> {
-        match &self.current {
-            _ if self.has_ended() => None,
-            Some(current) => Some((current.key().hash(), current.is_leaving)),
-            None => self.known.map(|known| (known.hash, known.is_leaving)),
-        }
+    /// What balancers shall remember of the target; `None` if no instance is known to run.
+    pub fn summary(&self) -> Option<TargetInstanceSummary> {
+        let (hash, is_leaving) = match &self.current {
+            _ if self.has_ended() => return None,
+            Some(current) => (current.key().hash(), current.is_leaving),
+            None => self.known.map(|known| (known.hash, known.is_leaving))?,
+        };
+        Some(TargetInstanceSummary { hash, is_leaving })
     }
 
     /// Applies a report.
@@ -278,6 +280,7 @@
     /// Notes that the target's host refuses connections: no instance runs.
     pub fn note_connection_refused(&mut self) {
         self.is_connection_refused = true;
+        self.known = None;
         self.unproven.clear();
     }
 
@@ -300,7 +303,8 @@
     /// Takes over what a balancer knows from before the start of this process. An instance that reported
     /// first, and is not the known one, may be a late report, and has to prove that it runs.
     pub fn note_known(&mut self, known: KnownInstance) {
-        if self.known.is_some_and(|older| older.as_of >= known.as_of) {
+        let is_superseded = self.known.is_some_and(|older| older.as_of >= known.as_of);
+        if is_superseded || self.is_connection_refused {
             return;
         }
         let Some(current) = &mut self.current else {
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -50,7 +50,6 @@
 use crate::process::passthrough::settings::PassthroughAgentSettings;
 use crate::process::passthrough::target_presence;
 use crate::process::signals;
-use crate::version::target_status::TargetInstanceSummary;
 use crate::version::target_status::TargetStatus;
 
 /// Interval of the periodic task.
@@ -219,10 +218,7 @@
             flows: state.flows.open_count(),
             busy: state.flows.busy_count(),
             is_stopping: self.is_stopping.load(Ordering::Relaxed),
-            instance: state
-                .gate
-                .instance_summary()
-                .map(|(hash, is_leaving)| TargetInstanceSummary { hash, is_leaving }),
+            instance: state.instance_to_report(now_ms),
         })
     }
 
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -24,6 +24,7 @@
 use crate::process::passthrough::segment_header::SegmentHeader;
 use crate::version::introduction::Introduction;
 use crate::version::store_position::StorePosition;
+use crate::version::target_status::TargetInstanceSummary;
 
 /// Segments sent to the target whose headers are stored in case the target bounces them; a power of two. At
 /// 1,000 segments per second, each bounced within milliseconds, only a few are pending.
@@ -217,6 +218,13 @@
         self.phase(now_ms)
     }
 
+    /// The target's instance for a status. `None` until the balancers had time to say which one they know, so
+    /// that they do not forget it for a report that arrived late.
+    pub fn instance_to_report(&mut self, now_ms: u64) -> Option<TargetInstanceSummary> {
+        let is_introduced = self.introduction.is_complete(now_ms);
+        self.gate.instance_summary().filter(|_| is_introduced)
+    }
+
     /// Phase of the target that is reported to balancers.
     pub fn phase(&mut self, now_ms: u64) -> TargetPhase {
         if self.is_target_lost(now_ms) {
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -198,8 +198,15 @@
         self.clock.now_ms()
     }
 
+    /// The state, for an input at the current time.
     pub(super) fn state(&self) -> MutexGuard<'_, BalancerState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now_ms = self.now_ms();
+        if state.note_time(now_ms) {
+            self.running_since_ms.store(now_ms, Ordering::Relaxed);
+            self.has_read_nodes.store(false, Ordering::Relaxed);
+        }
+        state
     }
 
     pub(super) fn peers(&self) -> MutexGuard<'_, BalancerTable> {
@@ -235,7 +242,7 @@
             },
             idle_timeout_ms: configuration.map_or(0, |configuration| configuration.idle_timeout_ms),
             known_incarnation: status.map_or(0, |status| status.incarnation),
-            known_instance: state.targets.known_instance(agent.data),
+            known_instance: state.targets.instance_to_give_back(agent.data),
         }
     }
 
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -23,6 +23,10 @@
 /// a short chain still reaches all of them while it bounds the total number of hops.
 const MAX_REOFFER_CHAIN: usize = 3;
 
+/// Time between two inputs, in milliseconds, above which the process was stalled. Its timers alone give an input
+/// six times as often.
+const STALL_THRESHOLD_MS: u64 = 600;
+
 /// Search id of copies to unavailable agents. Their outcome is not tracked, since such an agent may
 /// never answer.
 const UNTRACKED_SEARCH: u32 = u32::MAX;
@@ -180,6 +184,8 @@
     pub knows_all_agents: bool,
     zone: String,
     control_address: SocketAddrV4,
+    /// Time of the last input; `None` before the first.
+    last_input_ms: Option<u64>,
 }
 
 impl BalancerState {
@@ -193,9 +199,23 @@
             knows_all_agents: false,
             zone: zone.to_owned(),
             control_address,
+            last_input_ms: None,
         }
     }
 
+    /// Notes that the process runs. Called before each input, as what waited during a stall is decided on before
+    /// any timer runs: no agent counts as silent for answers that could not be received. Returns whether a stall
+    /// has just ended.
+    pub fn note_time(&mut self, now_ms: u64) -> bool {
+        let last_input_ms = self.last_input_ms.replace(now_ms).unwrap_or(now_ms);
+        let was_stalled = now_ms.saturating_sub(last_input_ms) > STALL_THRESHOLD_MS;
+        if was_stalled {
+            self.targets.note_stall(now_ms);
+            self.knows_all_agents = false;
+        }
+        was_stalled
+    }
+
     /// Decides what to do with a segment from a caller.
     pub fn decide(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
         if !self.routing.is_configured() {
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -292,9 +292,12 @@
         Some(AgentAddresses { data, control: entry.control, zone: &entry.zone })
     }
 
-    /// Instance of an agent's target that its last statuses named, until that has ended.
-    pub fn known_instance(&self, data: SocketAddrV4) -> Option<KnownInstance> {
-        self.targets.get(&data)?.known_instance
+    /// Instance of an agent's target that its earlier statuses named, while its last one names none: the agent
+    /// has started again.
+    pub fn instance_to_give_back(&self, data: SocketAddrV4) -> Option<KnownInstance> {
+        let entry = self.targets.get(&data)?;
+        let names_none = entry.status.as_ref().is_some_and(|status| status.instance.is_none());
+        entry.known_instance.filter(|_| names_none)
     }
 
     /// The last status of an agent.
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -15,6 +15,7 @@
 use rhubarbthread::process::passthrough::balancer_state::WaitReason;
 use rhubarbthread::version::routing::ApplyOutcome;
 use rhubarbthread::version::routing::Configuration;
+use rhubarbthread::version::target_status::TargetInstanceSummary;
 use rhubarbthread::version::target_status::TargetStatus;
 use rhubarbthread::version::target_status::TargetUpdate;
 use rhubarbthread::version::target_table::AGENT_TIMEOUT_MS;
@@ -484,6 +485,35 @@
         let once = return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), now_ms);
         assert_eq!(once, ForwardingDecision::Drop(DropReason::LossUnproven));
     };
+    the_instance_of_a_target_is_given_back_to_an_agent_that_starts_again: {
+        let mut balancer = balancer();
+        let instance = Some(TargetInstanceSummary { hash: 5, is_leaving: true });
+        let before = TargetStatus { instance, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(before.clone(), 0, 1);
+        assert_eq!(balancer.targets.instance_to_give_back(agent(22)), None);
+        let started = TargetStatus { incarnation: 1_000, sequence: 0, instance: None, ..before };
+        balancer.targets.apply_status(started.clone(), 0, 2);
+        let known = balancer.targets.instance_to_give_back(agent(22));
+        assert_eq!(known.map(|known| (known.hash, known.is_leaving)), Some((5, true)));
+        let ended = TargetStatus { phase: TargetPhase::Ended, sequence: 1, ..started };
+        balancer.targets.apply_status(ended, 0, 3);
+        assert_eq!(balancer.targets.instance_to_give_back(agent(22)), None);
+    };
+    no_agent_is_silent_for_answers_that_a_stalled_balancer_could_not_receive: {
+        let mut balancer = balancer();
+        let flow = segment_of(IDEMPOTENT, 1).flow;
+        balancer.flow_locations.record_holder(flow, agent(22), true, 0);
+        balancer.note_time(100);
+        let now_ms = 3_500;
+        balancer.targets.take_due_probes(true, |data, _| data == agent(22), "a", 100);
+        balancer.note_time(now_ms);
+        let first_answer = TargetStatus { sequence: now_ms, ..status_of(11, "a", "vypocet") };
+        balancer.targets.apply_status(first_answer, 0, now_ms);
+        let decision = balancer.decide(&segment_of(IDEMPOTENT, 1), now_ms);
+        assert!(!matches!(decision, ForwardingDecision::Reset(_)), "{decision:?}");
+        let decision = return_from_all_chains(&mut balancer, &segment_of(IDEMPOTENT, 2), now_ms);
+        assert!(!matches!(decision, ForwardingDecision::Reset(_)), "{decision:?}");
+    };
     a_flow_at_a_silent_agent_is_left_by_callers_that_may_repeat: {
         let mut balancer = balancer();
         let now_ms = make_silent(&mut balancer, 22, 1);
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -20,6 +20,7 @@
 use rhubarbthread::process::passthrough::agent_state::Action;
 use rhubarbthread::process::passthrough::agent_state::AgentState;
 use rhubarbthread::process::passthrough::segment_header::SegmentHeader;
+use rhubarbthread::version::target_status::TargetInstanceSummary;
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::segment_of;
@@ -61,7 +62,7 @@
 
 /// What a balancer knows of the target from before an agent's start.
 fn known(gate: &TargetGate) -> Option<KnownInstance> {
-    let (hash, is_leaving) = gate.instance_summary()?;
+    let TargetInstanceSummary { hash, is_leaving } = gate.instance_summary()?;
     Some(KnownInstance { hash, is_leaving, as_of: (1, 1) })
 }
 
@@ -141,6 +142,15 @@
         assert!(!gate.has_seen_all_flows());
         assert_eq!(gate.apply_report(report("a", 1_000, 2), 770), ReportOutcome::NewLife);
     };
+    a_target_that_starts_after_a_power_failure_counts_at_its_first_report: {
+        let before = gate();
+        let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
+        gate.note_connection_refused();
+        gate.note_known_instance(known(&before).expect("the target is known"));
+        assert_eq!(gate.apply_report(report("b", 400, 1), 510), ReportOutcome::NewLife);
+        gate.note_known_instance(known(&before).expect("the target is known"));
+        assert_eq!(admit(&mut gate, "vypocet", 511), Ok(()));
+    };
     another_writer_does_not_take_the_place_of_a_running_target: {
         let mut gate = gate();
         let other = TargetReport { service: "archiv".to_owned(), ..report("other", 9_000, 1) };
