--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -30,6 +30,7 @@
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::report_of;
 use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 
@@ -47,21 +48,9 @@
 /// Incarnation of the agents at their start.
 const INCARNATION: u64 = 7;
 
-fn report(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
-    TargetReport {
-        id: id.to_owned(),
-        started_ms,
-        sequence,
-        service: "vypocet".to_owned(),
-        is_leaving: false,
-        cold_remaining_ms: 0,
-        slots: 4,
-    }
-}
-
 fn gate() -> TargetGate {
     let mut gate = TargetGate::new(TARGET_TIMEOUT_MS);
-    gate.apply_report(report("a", 1, 1), 0);
+    gate.apply_report(report_of("a", 1, 1), 0);
     gate
 }
 
@@ -93,7 +82,7 @@
 
 fn agent() -> AgentState {
     let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-    agent.gate.apply_report(report("a", 1, 2), 0);
+    agent.gate.apply_report(report_of("a", 1, 2), 0);
     agent.introduction.note_registered_balancers(IndexSet::new());
     agent
 }
@@ -101,7 +90,7 @@
 /// Creates an agent that has just started, has read these balancers from the store and notifies them.
 fn starting_agent(balancers: &[SocketAddrV4]) -> AgentState {
     let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-    agent.gate.apply_report(report("a", 1, 2), 0);
+    agent.gate.apply_report(report_of("a", 1, 2), 0);
     agent.introduction.note_registered_balancers(balancers.iter().copied().collect());
     agent.balancers_to_notify(0);
     agent
@@ -182,33 +171,33 @@
     };
     a_leaving_target_takes_no_flow: {
         let mut gate = gate();
-        gate.apply_report(TargetReport { is_leaving: true, ..report("a", 1, 2) }, 1);
+        gate.apply_report(TargetReport { is_leaving: true, ..report_of("a", 1, 2) }, 1);
         assert_eq!(admit(&mut gate, 2), Err(RefusalReason::Leaving));
         assert_eq!(gate.phase(2), TargetPhase::Leaving);
     };
     a_late_report_of_a_past_life_changes_nothing: {
         let mut gate = gate();
         gate.note_connection_refused();
-        assert_eq!(gate.apply_report(report("b", 5, 1), 1), ReportOutcome::NewLife);
-        assert_eq!(gate.apply_report(report("a", 1, 9), 2), ignored(IgnoredReason::PastInstance));
+        assert_eq!(gate.apply_report(report_of("b", 5, 1), 1), ReportOutcome::NewLife);
+        assert_eq!(gate.apply_report(report_of("a", 1, 9), 2), ignored(IgnoredReason::PastInstance));
         assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("b"));
     };
     a_report_out_of_order_changes_nothing: {
         let mut gate = gate();
-        gate.apply_report(TargetReport { is_leaving: true, ..report("a", 1, 5) }, 1);
-        assert_eq!(gate.apply_report(report("a", 1, 4), 2), ignored(IgnoredReason::EarlierSequence));
+        gate.apply_report(TargetReport { is_leaving: true, ..report_of("a", 1, 5) }, 1);
+        assert_eq!(gate.apply_report(report_of("a", 1, 4), 2), ignored(IgnoredReason::EarlierSequence));
         assert_eq!(gate.phase(2), TargetPhase::Leaving);
     };
     a_target_that_starts_again_under_its_id_is_another_life: {
         let mut gate = gate();
-        gate.apply_report(report("a", 1, 50), 1);
+        gate.apply_report(report_of("a", 1, 50), 1);
         assert_eq!(gate.note_leave("a", Some(1)), LeaveOutcome::Ended);
-        assert_eq!(gate.apply_report(report("a", 8, 1), 2), ReportOutcome::NewLife);
+        assert_eq!(gate.apply_report(report_of("a", 8, 1), 2), ReportOutcome::NewLife);
     };
     a_target_that_has_left_stays_so: {
         let mut gate = gate();
         assert_eq!(gate.note_leave("a", Some(1)), LeaveOutcome::Ended);
-        assert_eq!(gate.apply_report(report("a", 1, 9), 1), ignored(IgnoredReason::HasEnded));
+        assert_eq!(gate.apply_report(report_of("a", 1, 9), 1), ignored(IgnoredReason::HasEnded));
         assert_eq!(gate.phase(1), TargetPhase::Ended);
     };
     a_target_whose_host_refuses_connections_holds_no_flow: {
@@ -228,7 +217,7 @@
     a_target_that_was_absent_before_its_report_has_no_flow_from_before: {
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS);
         gate.note_connection_refused();
-        assert_eq!(gate.apply_report(report("a", 1, 5), 1), ReportOutcome::NewLife);
+        assert_eq!(gate.apply_report(report_of("a", 1, 5), 1), ReportOutcome::NewLife);
         assert!(gate.has_seen_all_flows());
         assert_eq!(gate.phase(1), TargetPhase::Serving);
     };
@@ -237,7 +226,7 @@
         assert!(gate.has_seen_all_flows());
         gate.note_connection_refused();
         assert_eq!(admit(&mut gate, 1), Err(RefusalReason::TargetSilent));
-        assert_eq!(gate.apply_report(report("a", 1, 2), 2), ReportOutcome::Changed);
+        assert_eq!(gate.apply_report(report_of("a", 1, 2), 2), ReportOutcome::Changed);
         assert!(!gate.has_seen_all_flows());
         assert_eq!(admit(&mut gate, 3), Ok(()));
         gate.note_connection_refused();
@@ -258,14 +247,14 @@
         assert_eq!(admit(&mut gate, 11), Err(RefusalReason::ZoneOut));
         gate.set_zone_out(false, 20);
         assert_eq!(admit(&mut gate, 21), Err(RefusalReason::TargetSilent));
-        gate.apply_report(report("a", 1, 2), 30);
+        gate.apply_report(report_of("a", 1, 2), 30);
         assert_eq!(admit(&mut gate, 31), Ok(()));
     };
     a_cold_target_whose_limits_are_not_known_yet_gets_nothing: {
         // After a power failure a cold target got ten openings per second, as no probe had carried the
         // limits of its service yet.
         let mut gate = gate();
-        gate.apply_report(TargetReport { cold_remaining_ms: 60_000, ..report("a", 1, 2) }, 0);
+        gate.apply_report(TargetReport { cold_remaining_ms: 60_000, ..report_of("a", 1, 2) }, 0);
         assert_eq!(admit(&mut gate, 1), Err(RefusalReason::LimitsUnknown));
         let limits = TargetLimits { cold_openings_per_s: Some(1), max_flows: 100 };
         gate.set_limits("zpravy", limits);
@@ -277,7 +266,7 @@
     a_cold_target_never_gets_more_than_it_bears: {
         let mut gate = gate();
         gate.set_limits("vypocet", TargetLimits { cold_openings_per_s: Some(5), max_flows: 100 });
-        gate.apply_report(TargetReport { cold_remaining_ms: 60_000, ..report("a", 1, 2) }, 0);
+        gate.apply_report(TargetReport { cold_remaining_ms: 60_000, ..report_of("a", 1, 2) }, 0);
         let mut admitted_ms = Vec::new();
         for now_ms in (0..1_700).step_by(7) {
             // Retransmissions count towards the limit, too.
@@ -305,7 +294,7 @@
     no_limit_in_the_configuration_is_no_limit: {
         let mut gate = gate();
         gate.set_limits("vypocet", TargetLimits { cold_openings_per_s: None, max_flows: 100 });
-        gate.apply_report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 2) }, 0);
+        gate.apply_report(TargetReport { cold_remaining_ms: 2_000, ..report_of("a", 1, 2) }, 0);
         assert!((0..500).all(|_| admit(&mut gate, 1).is_ok()));
     };
     busy_slots_pass_an_opening_on_only_while_others_are_left: {
@@ -463,7 +452,7 @@
     a_cold_target_counts_as_starting_until_its_limits_are_told: {
         // Openings were refused for lack of a target shortly before the limits of the cold target arrived.
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-        agent.gate.apply_report(TargetReport { cold_remaining_ms: 2_000, ..report("a", 1, 1) }, 0);
+        agent.gate.apply_report(TargetReport { cold_remaining_ms: 2_000, ..report_of("a", 1, 1) }, 0);
         agent.introduction.note_registered_balancers(IndexSet::new());
         assert_eq!(agent.phase(1), TargetPhase::Introducing);
         let other = Probe { service: "zpravy".to_owned(), ..probe_from(address(9, 7720)) };
@@ -479,7 +468,7 @@
     };
     with_the_store_away_the_first_balancer_tells_the_others: {
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-        agent.gate.apply_report(report("a", 1, 2), 4_000);
+        agent.gate.apply_report(report_of("a", 1, 2), 4_000);
         assert_eq!(agent.phase(4_000), TargetPhase::Introducing);
         agent.apply_probe(&probe_from(address(9, 7720)), 4_000);
         assert_eq!(agent.phase(4_699), TargetPhase::Introducing);
@@ -502,7 +491,7 @@
     an_agent_that_saw_the_whole_life_answers_without_the_target: {
         let mut agent = agent();
         agent.note_leave("a", Some(1));
-        agent.apply_report(report("b", 5, 1), 1);
+        agent.apply_report(report_of("b", 5, 1), 1);
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 2),
             returned_to_balancer(4, NotHeldReason::UnknownFlow)
@@ -540,7 +529,7 @@
     };
     an_agent_that_got_the_first_report_has_seen_every_flow: {
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
-        agent.gate.apply_report(report("a", 1, 1), 0);
+        agent.gate.apply_report(report_of("a", 1, 1), 0);
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 1),
             returned_to_balancer(4, NotHeldReason::UnknownFlow)
@@ -604,7 +593,7 @@
         assert!(agent.introduction.is_complete(2));
         agent.note_target_not_running(1);
         assert_eq!(agent.phase_to_report(&[told], 3), TargetPhase::Ended);
-        agent.gate.apply_report(report("b", 9, 1), 1_000);
+        agent.gate.apply_report(report_of("b", 9, 1), 1_000);
         // A balancer that missed the end may offer a flow before the first status of the new target.
         let refused = agent.handle_node_segment(&opening(2), header(&[], 0), 1_000);
         assert_eq!(refusal_of(&refused), Some(RefusalReason::NotIntroduced));
@@ -625,7 +614,7 @@
         agent.note_target_not_running(1);
         agent.introduction.note_registered_balancers(IndexSet::from([balancer]));
         assert_eq!(agent.balancers_to_notify(1), None);
-        agent.gate.apply_report(report("a", 1, 1), 5_000);
+        agent.gate.apply_report(report_of("a", 1, 1), 5_000);
         assert_eq!(agent.balancers_to_notify(5_000), Some(vec![balancer]));
         let refused = agent.handle_node_segment(&opening(1), header(&[], 0), 5_059);
         assert_eq!(refusal_of(&refused), Some(RefusalReason::NotIntroduced));
@@ -634,7 +623,7 @@
     a_target_that_nobody_was_told_has_ended_needs_no_second_introduction: {
         let mut agent = agent();
         agent.note_target_not_running(1);
-        agent.gate.apply_report(report("b", 9, 1), 10);
+        agent.gate.apply_report(report_of("b", 9, 1), 10);
         agent.phase_to_report(&[address(9, 7720)], 11);
         assert!(agent.introduction.is_complete(11));
         assert_eq!(agent.introduction.incarnation(), INCARNATION);
--- a/tests/support/passthrough.rs
+++ b/tests/support/passthrough.rs
@@ -7,6 +7,7 @@
 use rhubarbthread::connection::flow_key::FlowKey;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
+use rhubarbthread::connection::target_gate::TargetReport;
 use rhubarbthread::version::routing::Configuration;
 use rhubarbthread::version::routing::RouteRule;
 use rhubarbthread::version::routing::ServiceLimits;
@@ -51,6 +52,19 @@
     Segment { opens: true, ..segment_of(route_port, caller_port) }
 }
 
+/// A report of a ready, warm target.
+pub fn report_of(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
+    TargetReport {
+        id: id.to_owned(),
+        started_ms,
+        sequence,
+        service: "vypocet".to_owned(),
+        is_leaving: false,
+        cold_remaining_ms: 0,
+        slots: 4,
+    }
+}
+
 /// The first status of an idle target that accepts flows.
 pub fn status_of(last_octet: u8, zone: &str, service: &str) -> TargetStatus {
     TargetStatus {
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -23,30 +23,19 @@
 use rhubarbthread::version::target_status::TargetInstanceSummary;
 
 use crate::support::passthrough::address;
+use crate::support::passthrough::report_of;
 use crate::support::passthrough::segment_of;
 
 const TARGET_TIMEOUT_MS: u64 = 1_800;
 const HEARTBEAT_MS: u64 = 770;
 
-fn report(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
-    TargetReport {
-        id: id.to_owned(),
-        started_ms,
-        sequence,
-        service: "vypocet".to_owned(),
-        is_leaving: false,
-        cold_remaining_ms: 0,
-        slots: 4,
-    }
-}
-
 fn draining(report: TargetReport) -> TargetReport {
     TargetReport { is_leaving: true, ..report }
 }
 
 fn gate() -> TargetGate {
     let mut gate = TargetGate::new(TARGET_TIMEOUT_MS);
-    gate.apply_report(report("a", 1_000, 1), 0);
+    gate.apply_report(report_of("a", 1_000, 1), 0);
     gate
 }
 
@@ -82,7 +71,7 @@
 cases! {
     draining_counts_though_an_earlier_instance_had_a_clock_ahead: {
         let mut gate = gate();
-        let next = |sequence| report("b", 400, sequence);
+        let next = |sequence| report_of("b", 400, sequence);
         assert_eq!(gate.apply_report(next(1), 900), ignored(IgnoredReason::Unproven));
         gate.note_seen(1_000);
         assert_eq!(gate.apply_report(next(2), 1_670), ReportOutcome::Replaced);
@@ -94,38 +83,38 @@
     };
     draining_of_an_instance_that_is_not_proved_yet_is_in_force_at_once: {
         let mut gate = gate();
-        gate.apply_report(draining(report("b", 2_000, 1)), 300);
+        gate.apply_report(draining(report_of("b", 2_000, 1)), 300);
         assert_eq!(admit(&mut gate, "vypocet", 301), Err(RefusalReason::Leaving));
         assert_eq!(gate.phase(301), TargetPhase::Leaving);
     };
     an_instance_that_was_displaced_counts_again_once_it_goes_on_reporting: {
         let mut gate = gate();
         for (sequence, now_ms) in [(8, 1_100), (9, 1_700)] {
-            gate.apply_report(report("late", 500, sequence), now_ms);
+            gate.apply_report(report_of("late", 500, sequence), now_ms);
         }
         assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("late"));
         let outcomes = [2_000, 2_770, 3_540].map(|now_ms| {
-            gate.apply_report(draining(report("a", 1_000, now_ms)), now_ms)
+            gate.apply_report(draining(report_of("a", 1_000, now_ms)), now_ms)
         });
         assert!(outcomes.contains(&ReportOutcome::Replaced), "{outcomes:?}");
         assert_eq!(admit(&mut gate, "vypocet", 3_541), Err(RefusalReason::Leaving));
     };
     draining_is_kept_over_a_restart_of_the_agent: {
         let mut before = gate();
-        before.apply_report(draining(report("a", 1_000, 5)), 10);
+        before.apply_report(draining(report_of("a", 1_000, 5)), 10);
         let mut gate = restarted(&before, 500);
         // A report from before the draining, which was held up.
-        gate.apply_report(report("a", 1_000, 4), 510);
+        gate.apply_report(report_of("a", 1_000, 4), 510);
         assert_eq!(admit(&mut gate, "vypocet", 511), Err(RefusalReason::Leaving));
-        gate.apply_report(report("a", 1_000, 6), 900);
+        gate.apply_report(report_of("a", 1_000, 6), 900);
         assert_eq!(admit(&mut gate, "vypocet", 901), Err(RefusalReason::Leaving));
     };
     a_late_report_gives_no_opening_of_another_service_to_the_target: {
         let mut before = TargetGate::new(TARGET_TIMEOUT_MS);
-        let other = TargetReport { service: "zpravy".to_owned(), ..report("b", 2_000, 3) };
+        let other = TargetReport { service: "zpravy".to_owned(), ..report_of("b", 2_000, 3) };
         before.apply_report(other.clone(), 0);
         let mut gate = restarted(&before, 500);
-        gate.apply_report(report("a", 1_000, 1_000), 510);
+        gate.apply_report(report_of("a", 1_000, 1_000), 510);
         assert!(admit(&mut gate, "vypocet", 511).is_err());
         for (sequence, now_ms) in [(4, 770), (5, 1_540), (6, 2_310)] {
             gate.apply_report(TargetReport { sequence, ..other.clone() }, now_ms);
@@ -136,34 +125,34 @@
     a_late_report_that_comes_before_the_balancers_answer_counts_for_nothing: {
         let before = gate();
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
-        assert_eq!(gate.apply_report(report("late", 500, 9), 510), ReportOutcome::NewLife);
+        assert_eq!(gate.apply_report(report_of("late", 500, 9), 510), ReportOutcome::NewLife);
         gate.note_known_instance(known(&before).expect("the target is known"));
         assert!(admit(&mut gate, "vypocet", 511).is_err());
         assert!(!gate.has_seen_all_flows());
-        assert_eq!(gate.apply_report(report("a", 1_000, 2), 770), ReportOutcome::NewLife);
+        assert_eq!(gate.apply_report(report_of("a", 1_000, 2), 770), ReportOutcome::NewLife);
     };
     a_target_that_starts_after_a_power_failure_counts_at_its_first_report: {
         let before = gate();
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
         gate.note_connection_refused();
         gate.note_known_instance(known(&before).expect("the target is known"));
-        assert_eq!(gate.apply_report(report("b", 400, 1), 510), ReportOutcome::NewLife);
+        assert_eq!(gate.apply_report(report_of("b", 400, 1), 510), ReportOutcome::NewLife);
         gate.note_known_instance(known(&before).expect("the target is known"));
         assert_eq!(admit(&mut gate, "vypocet", 511), Ok(()));
     };
     another_writer_does_not_take_the_place_of_a_running_target: {
         let mut gate = gate();
-        let other = TargetReport { service: "archiv".to_owned(), ..report("other", 9_000, 1) };
+        let other = TargetReport { service: "archiv".to_owned(), ..report_of("other", 9_000, 1) };
         assert_eq!(gate.apply_report(other, 400), ignored(IgnoredReason::Unproven));
         for (sequence, now_ms) in [(2, 770), (3, 1_540), (4, 2_310)] {
-            assert_eq!(gate.apply_report(report("a", 1_000, sequence), now_ms), ReportOutcome::Same);
+            assert_eq!(gate.apply_report(report_of("a", 1_000, sequence), now_ms), ReportOutcome::Same);
         }
         assert_eq!(admit(&mut gate, "vypocet", 2_311), Ok(()));
     };
     a_late_leave_call_does_not_end_the_next_instance_of_the_id: {
         let mut gate = gate();
         assert_eq!(gate.note_leave("a", Some(1_000)), LeaveOutcome::Ended);
-        gate.apply_report(report("a", 4_000, 1), 3_000);
+        gate.apply_report(report_of("a", 4_000, 1), 3_000);
         assert_eq!(gate.note_leave("a", Some(1_000)), LeaveOutcome::OtherInstance);
         assert!(!gate.has_ended());
         assert_eq!(admit(&mut gate, "vypocet", 3_001), Ok(()));
@@ -173,7 +162,7 @@
         assert_eq!(gate.note_leave("a", None), LeaveOutcome::Unverified);
         assert!(!gate.has_ended() && gate.is_suspected(0));
         assert_eq!(admit(&mut gate, "vypocet", 10), Err(RefusalReason::Leaving));
-        gate.apply_report(report("a", 1_000, 2), 770);
+        gate.apply_report(report_of("a", 1_000, 2), 770);
         assert_eq!(admit(&mut gate, "vypocet", 771), Ok(()));
         gate.note_leave("a", None);
         gate.note_connection_refused();
@@ -181,7 +170,7 @@
     };
     a_target_whose_reports_stay_away_is_not_lost_while_its_host_accepts_connections: {
         let mut agent = AgentState::new(7, TARGET_TIMEOUT_MS, 0);
-        agent.apply_report(report("a", 1_000, 2), 0);
+        agent.apply_report(report_of("a", 1_000, 2), 0);
         let header = SegmentHeader { report_to: Some(address(9, 7720)), ..SegmentHeader::default() };
         for now_ms in (250..9_000).step_by(250) {
             agent.note_time(now_ms);
@@ -192,13 +181,13 @@
     };
     a_refused_connection_from_before_a_report_does_not_end_the_target: {
         let mut agent = AgentState::new(7, TARGET_TIMEOUT_MS, 0);
-        agent.apply_report(report("a", 1_000, 1), 100);
+        agent.apply_report(report_of("a", 1_000, 1), 100);
         assert!(!agent.note_target_not_running(99));
         assert!(!agent.gate.has_ended());
     };
     segments_that_waited_during_a_stall_are_not_returned_as_lost: {
         let mut agent = AgentState::new(7, TARGET_TIMEOUT_MS, 0);
-        agent.apply_report(report("a", 1_000, 2), 0);
+        agent.apply_report(report_of("a", 1_000, 2), 0);
         for now_ms in (250..3_000).step_by(250) {
             agent.note_time(now_ms);
             agent.gate.note_seen(now_ms);
@@ -210,7 +199,7 @@
     };
     the_limit_of_a_cold_target_holds_over_a_restart_of_the_agent: {
         let limits = TargetLimits { cold_openings_per_s: Some(3), max_flows: 100 };
-        let cold = |sequence| TargetReport { cold_remaining_ms: 9_000, ..report("a", 1_000, sequence) };
+        let cold = |sequence| TargetReport { cold_remaining_ms: 9_000, ..report_of("a", 1_000, sequence) };
         let mut before = TargetGate::new(TARGET_TIMEOUT_MS);
         before.set_limits("vypocet", limits);
         before.apply_report(cold(1), 0);
@@ -288,7 +277,7 @@
             }
             if self.random.random_ratio(1, 1_500) {
                 let other =
-                    TargetReport { service: "archiv".to_owned(), ..report("other", now_ms, 1) };
+                    TargetReport { service: "archiv".to_owned(), ..report_of("other", now_ms, 1) };
                 self.gate.apply_report(other, now_ms);
                 self.disturbed_until_ms = now_ms + TARGET_TIMEOUT_MS;
             }
@@ -346,7 +335,7 @@
         let report = TargetReport {
             service: process.service.to_owned(),
             is_leaving,
-            ..report(&process.id, process.started_ms, process.sequence)
+            ..report_of(&process.id, process.started_ms, process.sequence)
         };
         if self.random.random_bool(0.15) {
             self.late
