Every balancer probes an agent that restarts, until it is back

What callers saw: open flows that stall for 2 to 2.4 s, their segments at other targets, through a balancer that is about to stop.

A balancer that is no monitor of the agent probes it only once its last status is 2 s old.

Change: an agent that has announced that it stops, and whose target runs, is probed by each balancer in each round, 0.3 s, until it is back.

Test that failed before: an_agent_that_restarts_is_probed_though_no_other_balancer_tells_of_its_return.

--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -83,6 +83,12 @@
         self.status.as_ref().is_some_and(|status| status.phase == TargetPhase::Ended)
     }
 
+    /// Whether the agent has announced that it stops, and is expected back with its target.
+    fn is_restart_awaited(&self, now_ms: u64) -> bool {
+        let is_stopping = self.status.as_ref().is_some_and(|status| status.is_stopping);
+        is_stopping && !self.has_ended() && now_ms < self.restart_deadline_ms
+    }
+
     /// Whether the target may hold flows: it has not ended, as far as is known, or that was only relayed and
     /// the agent is alive. Before flows open at a target that starts after one has ended, the agent
     /// introduces itself again to the balancers that it has notified of the end itself.
--- a/src/version/target_table/probes.rs
+++ b/src/version/target_table/probes.rs
@@ -71,7 +71,9 @@
             let needs_end_check = entry
                 .end_relayed_ms
                 .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= RELAYED_END_CHECK_MS);
-            let needs_recheck = entry.recheck_since_ms.is_some() || needs_end_check;
+            let needs_recheck = entry.recheck_since_ms.is_some()
+                || needs_end_check
+                || entry.is_restart_awaited(now_ms);
             if is_awaited
                 || (is_probe_round && (is_outdated || needs_recheck || entry.is_monitored))
             {
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -449,6 +449,19 @@
         assert_eq!(balancer.take_releasable(64, 601).len(), 1);
         assert_eq!(chains(balancer.decide(&segment_of(ONCE, 1), 601)), [[agent(22)]]);
     };
+    an_agent_that_restarts_is_probed_though_no_other_balancer_tells_of_its_return: {
+        // A balancer that stops is told nothing by others, and still forwards.
+        let mut balancer = balancer();
+        balancer.targets.note_zone_seen("b", 1);
+        let stopping =
+            TargetStatus { is_stopping: true, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(stopping.clone(), 0, 1);
+        let due = balancer.targets.take_due_probes(true, |_, _| false, "a", 300);
+        assert_eq!(due, [agent(22)]);
+        let ended = TargetStatus { phase: TargetPhase::Ended, sequence: 3, ..stopping };
+        balancer.targets.apply_status(ended, 0, 301);
+        assert_eq!(balancer.targets.take_due_probes(true, |_, _| false, "a", 600), []);
+    };
     a_host_that_was_taken_away_holds_up_no_reset: {
         // The host's end is known from another balancer only: it stays awaited, as it announced that it stops.
         let mut balancer = balancer();
