Draining that was confirmed holds while another instance has taken the target's place

Found by reading the change again: two faults at once, reports that stay away for a second and two late reports of another instance, lifted a confirmed draining until the running instance had proved itself, for up to 1.3 s.

Change: an instance that was replaced without having ended for certain goes on restricting the openings for as long as its reports are recent, and its next ones restrict again. One that has ended restricts nothing, as before.

--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -113,6 +113,16 @@
     }
 }
 
+/// An instance that another one has replaced.
+#[derive(Clone, Debug)]
+struct PastInstance {
+    key: InstanceKey,
+    /// Sequence number of its last report.
+    last_sequence: u64,
+    /// Whether it had ended for certain. Else it may be what runs after all.
+    has_ended: bool,
+}
+
 /// Effect of a leave call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaveOutcome {
@@ -134,11 +144,10 @@
     is_leave_unverified: bool,
     /// Whether the target's host has refused a connection since the target was last heard.
     is_connection_refused: bool,
-    /// Whether this process has received the first report after its start, and no other instance since.
+    /// Whether the current instance was believed at the first report after this process's start.
     is_first: bool,
     unproven: IndexMap<InstanceKey, Instance>,
-    /// Past instances, each with the sequence number of its last report.
-    past: VecDeque<(InstanceKey, u64)>,
+    past: VecDeque<PastInstance>,
     /// What balancers know from before this process.
     known: Option<KnownInstance>,
     has_seen_all_flows: bool,
@@ -170,16 +179,20 @@
         self.current.as_ref()
     }
 
-    /// Instances that have reported recently beside the current one and may be what runs, but for past ones,
-    /// whose reports are late. Openings must suit them, too.
+    /// Instances that have reported recently beside the current one and may be what runs, but for those that
+    /// have ended, whose reports are late. Openings must suit them, too.
     pub fn unproven(&self, now_ms: u64) -> impl Iterator<Item = &Instance> {
         let may_run = move |(key, instance): &(&InstanceKey, &Instance)| {
             now_ms.saturating_sub(instance.last_report_ms) < self.timeout_ms
-                && !self.past.iter().any(|(past, _)| past == *key)
+                && !self.past_instance(key).is_some_and(|past| past.has_ended)
         };
         self.unproven.iter().filter(may_run).map(|(_, instance)| instance)
     }
 
+    fn past_instance(&self, key: &InstanceKey) -> Option<&PastInstance> {
+        self.past.iter().find(|past| past.key == *key)
+    }
+
     /// Whether this process has observed the current instance from its start and therefore, as all segments
     /// to a target pass through its agent, every flow of it.
     pub fn has_seen_all_flows(&self) -> bool {
@@ -228,12 +241,13 @@
         if self.current.as_ref().is_some_and(|current| current.key() == key) {
             return self.apply_to_current(report, now_ms);
         }
-        let past_sequence =
-            self.past.iter().find(|(past, _)| *past == key).map(|(_, sequence)| *sequence);
-        if past_sequence.is_some_and(|past_sequence| report.sequence <= past_sequence) {
+        let past = self.past_instance(&key);
+        if past.is_some_and(|past| report.sequence <= past.last_sequence) {
             return ReportOutcome::Ignored(IgnoredReason::PastInstance);
         }
-        if past_sequence.is_none() && self.may_follow_at_once(&key) {
+        let is_past = past.is_some();
+        let has_ended = past.is_some_and(|past| past.has_ended);
+        if !is_past && self.may_follow_at_once(&key) {
             let instance = Instance::new(report, now_ms);
             return self.replace_current(instance, ReportOutcome::NewLife, now_ms);
         }
@@ -246,11 +260,10 @@
             None => self.add_unproven(key.clone(), Instance::new(report, now_ms)),
         }
         if !self.is_proven(&key, now_ms) {
-            let reason = match past_sequence {
-                Some(_) => IgnoredReason::PastInstance,
-                None => IgnoredReason::Unproven,
-            };
-            return ReportOutcome::Ignored(reason);
+            return ReportOutcome::Ignored(match has_ended {
+                true => IgnoredReason::PastInstance,
+                false => IgnoredReason::Unproven,
+            });
         }
         match self.unproven.shift_remove(&key) {
             Some(instance) => self.replace_current(instance, ReportOutcome::Replaced, now_ms),
@@ -407,9 +420,14 @@
         self.has_seen_all_flows = outcome == ReportOutcome::NewLife
             && (has_observed_end || next.report.sequence == FIRST_SEQUENCE);
         let key = next.key();
-        self.past.retain(|(past, _)| *past != key);
+        self.past.retain(|past| past.key != key);
         if let Some(past) = self.current.replace(next) {
-            self.past.push_back((past.key(), past.report.sequence));
+            let (key, last_sequence) = (past.key(), past.report.sequence);
+            let has_ended = outcome == ReportOutcome::NewLife;
+            self.past.push_back(PastInstance { key: key.clone(), last_sequence, has_ended });
+            if !has_ended {
+                self.add_unproven(key, past);
+            }
         }
         if self.past.len() > MAX_PAST_INSTANCES {
             self.past.pop_front();
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -99,6 +99,20 @@
         assert!(outcomes.contains(&ReportOutcome::Replaced), "{outcomes:?}");
         assert_eq!(admit(&mut gate, "vypocet", 3_541), Err(RefusalReason::Leaving));
     };
+    confirmed_draining_holds_while_another_instance_has_taken_the_place: {
+        let mut gate = gate();
+        gate.apply_report(draining(report_of("a", 1_000, 2)), 0);
+        for (sequence, now_ms) in [(8, 600), (9, 1_200)] {
+            gate.apply_report(report_of("late", 500, sequence), now_ms);
+        }
+        assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("late"));
+        assert_eq!(admit(&mut gate, "vypocet", 1_201), Err(RefusalReason::Leaving));
+        let outcome = gate.apply_report(draining(report_of("a", 1_000, 3)), 1_540);
+        assert_eq!(outcome, ignored(IgnoredReason::Unproven));
+        for now_ms in 1_541..2_310 {
+            assert_eq!(admit(&mut gate, "vypocet", now_ms), Err(RefusalReason::Leaving));
+        }
+    };
     draining_is_kept_over_a_restart_of_the_agent: {
         let mut before = gate();
         before.apply_report(draining(report_of("a", 1_000, 5)), 10);
