One decision on stalls of a balancer; leave calls are counted

Read again: the balancer's timer and its state each decided whether the process had stalled, by two constants of the same name. The state alone decides now; the timer does what is left to do, for other balancers and the nodes in the store. The result of a leave call, which no caller used, is counted instead (rhubarbthread_leave_calls). NotHeldReason::TargetLost has the name of its label.

No behaviour changes but where the stall is noticed first.

--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -135,6 +135,17 @@
     OtherInstance,
 }
 
+impl LeaveOutcome {
+    /// Label in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LeaveOutcome::Ended => "ended",
+            LeaveOutcome::Unverified => "unverified",
+            LeaveOutcome::OtherInstance => "other-instance",
+        }
+    }
+}
+
 /// The instances of one target.
 #[derive(Debug)]
 pub struct TargetInstances {
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -20,7 +20,6 @@
 use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetPhase;
 use crate::connection::target_gate::TargetReport;
-use crate::connection::target_instances::LeaveOutcome;
 use crate::error::Error;
 use crate::error::Result;
 use crate::log_event;
@@ -282,15 +281,15 @@
         outcome
     }
 
-    fn leave(&self, id: &str, started_ms: Option<u64>) -> LeaveOutcome {
+    fn leave(&self, id: &str, started_ms: Option<u64>) {
         let outcome = self.state().note_leave(id, started_ms);
+        count(&self.metrics.leave_calls, outcome.as_str());
         log_event!(
             Event::TargetLeaving,
             "target={id} started_ms={started_ms:?} outcome={outcome:?}"
         );
         self.check_due.notify_one();
         self.status_changed.notify_one();
-        outcome
     }
 
     fn note_malformed_report(&self, message: &str) {
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -100,7 +100,7 @@
     /// No process of the target runs, or it has shut down.
     TargetEnded,
     /// The target was not seen for so long that its flows count as lost.
-    TargetSilent,
+    TargetLost,
 }
 
 impl NotHeldReason {
@@ -110,7 +110,7 @@
         NotHeldReason::UnknownFlow,
         NotHeldReason::OpenElsewhere,
         NotHeldReason::TargetEnded,
-        NotHeldReason::TargetSilent,
+        NotHeldReason::TargetLost,
     ];
 
     /// Label in metrics and logs.
@@ -120,7 +120,7 @@
             NotHeldReason::UnknownFlow => "unknown-flow",
             NotHeldReason::OpenElsewhere => "open-elsewhere",
             NotHeldReason::TargetEnded => "target-ended",
-            NotHeldReason::TargetSilent => "target-lost",
+            NotHeldReason::TargetLost => "target-lost",
         }
     }
 }
@@ -459,7 +459,7 @@
         let seen_ms = self.gate.ms_since_last_seen(now_ms).unwrap_or(running_ms);
         let unseen_ms = self.gate.ms_since_accepted(now_ms).map_or(seen_ms, |ms| ms.min(seen_ms));
         let is_silent = unseen_ms > TARGET_LOST_MS && running_ms > TARGET_LOST_MS;
-        is_silent.then_some(NotHeldReason::TargetSilent)
+        is_silent.then_some(NotHeldReason::TargetLost)
     }
 
     /// Stores the header in case the target bounces the segment, and returns the cookie that finds it. The
--- a/src/process/passthrough/balancer.rs
+++ b/src/process/passthrough/balancer.rs
@@ -67,10 +67,6 @@
 /// other balancers.
 const TICK_INTERVAL: Duration = Duration::from_millis(FULL_STATE_REQUEST_INTERVAL_MS);
 
-/// Time between two ticks, in milliseconds, above which the process has stalled and its view of the other
-/// nodes counts as outdated.
-const STALL_THRESHOLD_MS: u64 = 600;
-
 /// Time between two sweeps that drop idle flows and nodes that were not seen for long, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
@@ -109,6 +105,8 @@
     pub(super) store_answer_ms: AtomicU64,
     /// Time of the start, of the end of the last stall or of the store's return from an older copy.
     running_since_ms: AtomicU64,
+    /// Length of a stall that the timers have not handled yet, in milliseconds; 0 if there is none.
+    unhandled_stall_ms: AtomicU64,
     pub(super) has_read_nodes: AtomicBool,
     /// Makes the store task read the nodes again.
     pub(super) reread_nodes_notify: Notify,
@@ -142,6 +140,7 @@
         changes_notify: Notify::new(),
         probe_notify: Notify::new(),
         release_notify: Notify::new(),
+        unhandled_stall_ms: AtomicU64::new(0),
         has_read_nodes: AtomicBool::new(false),
         reread_nodes_notify: Notify::new(),
         metrics: PassthroughMetrics::new(),
@@ -202,7 +201,8 @@
     pub(super) fn state(&self) -> MutexGuard<'_, BalancerState> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = self.now_ms();
-        if state.note_time(now_ms) {
+        if let Some(stall_ms) = state.note_time(now_ms) {
+            self.unhandled_stall_ms.store(stall_ms, Ordering::Relaxed);
             self.running_since_ms.store(now_ms, Ordering::Relaxed);
             self.has_read_nodes.store(false, Ordering::Relaxed);
         }
@@ -246,16 +246,16 @@
         }
     }
 
-    /// Marks the view of the other nodes as outdated: during the stall, unknown agents may have started.
+    /// Handles what the state has not after a stall, if there was one: the other balancers, and the nodes in the
+    /// store.
     fn handle_stall(&self, now_ms: u64) {
-        {
-            let mut state = self.state();
-            state.targets.note_stall(now_ms);
-            state.knows_all_agents = false;
+        drop(self.state());
+        let stall_ms = self.unhandled_stall_ms.swap(0, Ordering::Relaxed);
+        if stall_ms > 0 {
+            log_event!(Event::ProcessStalled, "for_ms={stall_ms}");
+            self.peers().note_stall(now_ms);
+            self.reread_nodes_notify.notify_one();
         }
-        self.peers().note_stall(now_ms);
-        self.has_read_nodes.store(false, Ordering::Relaxed);
-        self.reread_nodes_notify.notify_one();
     }
 
     /// Marks the agents as unknown until the nodes are read again: in the new era of the store, an agent
@@ -411,7 +411,6 @@
 async fn run_timers(shared: Arc<Shared>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last_tick_ms = shared.now_ms();
     let (mut last_probe_round_ms, mut last_state_ms, mut last_sweep_ms) = (0, 0, 0);
     loop {
         tokio::select! {
@@ -419,12 +418,7 @@
             () = shared.probe_notify.notified() => {}
         }
         let now_ms = shared.now_ms();
-        if now_ms - last_tick_ms > STALL_THRESHOLD_MS {
-            log_event!(Event::ProcessStalled, "for_ms={}", now_ms - last_tick_ms);
-            shared.running_since_ms.store(now_ms, Ordering::Relaxed);
-            shared.handle_stall(now_ms);
-        }
-        last_tick_ms = now_ms;
+        shared.handle_stall(now_ms);
         let is_probe_round = now_ms - last_probe_round_ms >= PROBE_INTERVAL_MS;
         if is_probe_round {
             last_probe_round_ms = now_ms;
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -23,8 +23,8 @@
 /// a short chain still reaches all of them while it bounds the total number of hops.
 const MAX_REOFFER_CHAIN: usize = 3;
 
-/// Time between two inputs, in milliseconds, above which the process was stalled. Its timers alone give an input
-/// six times as often.
+/// Time between two inputs, in milliseconds, above which the process was stalled and its view of the other nodes
+/// counts as outdated. Its timers alone give an input six times as often.
 const STALL_THRESHOLD_MS: u64 = 600;
 
 /// Search id of copies to unavailable agents. Their outcome is not tracked, since such an agent may
@@ -204,16 +204,17 @@
     }
 
     /// Notes that the process runs. Called before each input, as what waited during a stall is decided on before
-    /// any timer runs: no agent counts as silent for answers that could not be received. Returns whether a stall
-    /// has just ended.
-    pub fn note_time(&mut self, now_ms: u64) -> bool {
+    /// any timer runs: no agent counts as silent for answers that could not be received, and unknown ones may
+    /// have started. Returns the length of the stall that has just ended, in milliseconds, if there was one.
+    pub fn note_time(&mut self, now_ms: u64) -> Option<u64> {
         let last_input_ms = self.last_input_ms.replace(now_ms).unwrap_or(now_ms);
-        let was_stalled = now_ms.saturating_sub(last_input_ms) > STALL_THRESHOLD_MS;
-        if was_stalled {
-            self.targets.note_stall(now_ms);
-            self.knows_all_agents = false;
+        let idle_ms = now_ms.saturating_sub(last_input_ms);
+        if idle_ms <= STALL_THRESHOLD_MS {
+            return None;
         }
-        was_stalled
+        self.targets.note_stall(now_ms);
+        self.knows_all_agents = false;
+        Some(idle_ms)
     }
 
     /// Decides what to do with a segment from a caller.
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -42,6 +42,8 @@
     pub flows_not_held: ReasonCounter,
     /// Reports of targets, by what became of them.
     pub target_reports: ReasonCounter,
+    /// Leave calls of targets, by what became of them.
+    pub leave_calls: ReasonCounter,
     /// Connection attempts that check whether a process of the target runs, by outcome.
     pub target_checks: ReasonCounter,
     /// Searches for the agent that holds a flow, and offers of openings.
@@ -80,6 +82,7 @@
             refused_openings: Family::default(),
             flows_not_held: Family::default(),
             target_reports: Family::default(),
+            leave_calls: Family::default(),
             target_checks: Family::default(),
             searches: Counter::default(),
             store_failures: Family::default(),
@@ -117,6 +120,7 @@
             "Reports of the target",
             metrics.target_reports.clone(),
         );
+        registry.register("leave_calls", "Leave calls", metrics.leave_calls.clone());
         registry.register(
             "target_looks",
             "Connections tried to see whether a process of the target runs",
--- a/src/process/passthrough/mod.rs
+++ b/src/process/passthrough/mod.rs
@@ -36,7 +36,6 @@
 use crate::connection::segment::SegmentCodec;
 use crate::connection::target_gate::ReportOutcome;
 use crate::connection::target_gate::TargetReport;
-use crate::connection::target_instances::LeaveOutcome;
 use crate::process::store::Store;
 use crate::version::routing::OperatorItem;
 
@@ -72,7 +71,7 @@
 
     /// Applies the call of the target with this id that it has left; `started_ms` is its start time, in Unix
     /// milliseconds, if the call names it.
-    fn leave(&self, id: &str, started_ms: Option<u64>) -> LeaveOutcome;
+    fn leave(&self, id: &str, started_ms: Option<u64>);
 
     /// Logs a report that does not parse.
     fn note_malformed_report(&self, message: &str);
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -542,7 +542,7 @@
         cookie_of(&agent.handle_node_segment(&segment(1), header(&[], 4), 2_500));
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 2_501),
-            returned_to_balancer(4, NotHeldReason::TargetSilent)
+            returned_to_balancer(4, NotHeldReason::TargetLost)
         );
         assert_eq!(agent.phase(2_501), TargetPhase::Ended);
         agent.note_stall(9_000);
