--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -12,6 +12,7 @@
 pub mod tag;
 pub mod target_gate;
 pub mod target_health;
+pub mod target_instance;
 pub mod target_instances;
 pub mod target_report;
 pub mod tracked_flows;
--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -10,10 +10,10 @@
 use serde::Serialize;
 
 use crate::connection::opening_refusal::RefusalReason;
-use crate::connection::target_instances::Instance;
-use crate::connection::target_instances::KnownInstance;
+use crate::connection::target_instance::Instance;
+use crate::connection::target_instance::KnownInstance;
+use crate::connection::target_instance::TargetInstanceSummary;
 use crate::connection::target_instances::LeaveOutcome;
-use crate::connection::target_instances::TargetInstanceSummary;
 use crate::connection::target_instances::TargetInstances;
 use crate::connection::target_report::ReportOutcome;
 use crate::connection::target_report::TargetReport;
--- a/src/version/target_status.rs
+++ b/src/version/target_status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use crate::connection::target_gate::TargetPhase;
-use crate::connection::target_instances::TargetInstanceSummary;
+use crate::connection::target_instance::TargetInstanceSummary;
 
 /// Status of an agent and its target, as sent by the agent.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -15,7 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::connection::target_gate::TargetPhase;
-use crate::connection::target_instances::KnownInstance;
+use crate::connection::target_instance::KnownInstance;
 use crate::version::hash::hash64;
 use crate::version::rotation::Rotation;
 use crate::version::target_status::TargetLoadReport;
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
-use rhubarbthread::connection::target_instances::TargetInstanceSummary;
+use rhubarbthread::connection::target_instance::TargetInstanceSummary;
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
 use rhubarbthread::process::passthrough::balancer_state::DropReason;
 use rhubarbthread::process::passthrough::balancer_state::ForwardingDecision;
