--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -174,9 +174,7 @@
     /// Latest availability change of an agent up to which none holds the flow, as they have answered; 0 if
     /// none has.
     pub fn ruled_out_change(&self, flow: &FlowKey, now_ms: u64) -> u64 {
-        let entry = self.entries.get(flow);
-        let is_recent = |entry: &&Entry| now_ms.saturating_sub(entry.ruled_out_ms) < RULED_OUT_MS;
-        entry.filter(is_recent).map_or(0, |entry| entry.ruled_out_change)
+        self.entries.get(flow).map_or(0, |entry| entry.ruled_out_change(now_ms))
     }
 
     /// Latest availability change of an agent that the last search for the flow asks; 0 without a search.
