A confirmed draining ends with its instance, not with a timer on its reports

What callers saw: openings at a target whose draining had been answered with 200, from 1.8 s after its last report on, for as long as its calls to the agent stayed away while it served. On three orders of reports show it: draining of an unproven instance, then silence (admitted from 2,700 ms on); draining of a replaced instance, then silence (from 2,500 ms on); draining of an unproven instance, then four reports of other keys (at once, MAX_UNPROVEN had dropped it).

Cause: that reports stay away counted as evidence. Restrictions of unproven instances ended after the target time-out; the list of them dropped its oldest entry without a trace; and the time since a report of the current instance counted as time for which another one had reported, so that a single late report a second later took its place.

Change: an unproven instance restricts openings (draining, service, warm-up) until it is shown to have ended: the host refuses connections, or the current instance has reported three times over a second since. A full list drops first what restricts nothing; if it has to drop a restriction, the target takes no openings until the current instance has reported as long as that. Proofs count reports of one run (ReportRun).

Why it works: processes at one address follow one another, so that a report which was sent after one of another instance shows that this one has ended. Held-up reports arrive together; three over a second do not.

Ruled out: checking the host (an accepted connection does not say which instance runs); two reports over 0.5 s as for a replacement (two late ones may be that far apart); refusing to confirm when the list is full (the target would exit without a confirmation).

One foreign report closed a running target for 1.8 s and closes it for three of its reports now (1.5 to 2.3 s).

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -179,8 +179,8 @@
     }
 
     /// Takes over what a balancer knows of the target from before the start of this process.
-    pub fn note_known_instance(&mut self, known: KnownInstance) {
-        self.instances.note_known(known);
+    pub fn note_known_instance(&mut self, known: KnownInstance, now_ms: u64) {
+        self.instances.note_known(known, now_ms);
     }
 
     /// What balancers shall remember of the target.
@@ -259,7 +259,7 @@
         let Some(instance) = self.instances.current() else {
             return TargetPhase::Unknown;
         };
-        if self.is_any_leaving(now_ms) {
+        if self.is_any_leaving() {
             TargetPhase::Leaving
         } else if !self.is_fresh(instance, now_ms) {
             TargetPhase::Unknown
@@ -298,13 +298,13 @@
         if self.instances.is_connection_refused() {
             return Err(RefusalReason::TargetSilent);
         }
-        if self.has_ended() || self.is_any_leaving(now_ms) {
+        if self.has_ended() || self.is_any_leaving() {
             return Err(RefusalReason::Leaving);
         }
         if !self.is_fresh(instance, now_ms) {
             return Err(RefusalReason::TargetSilent);
         }
-        if self.running_instances(now_ms).any(|running| running.report.service != offer.service) {
+        if self.running_instances().any(|running| running.report.service != offer.service) {
             return Err(RefusalReason::OtherService);
         }
         if self.is_zone_out {
@@ -319,17 +319,18 @@
     }
 
     /// Instances one of which is what runs: the current one, and those that report beside it.
-    fn running_instances(&self, now_ms: u64) -> impl Iterator<Item = &Instance> {
-        self.instances.current().into_iter().chain(self.instances.unproven(now_ms))
+    fn running_instances(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.current().into_iter().chain(self.instances.unproven())
     }
 
-    fn is_any_leaving(&self, now_ms: u64) -> bool {
-        let mut unproven = self.instances.unproven(now_ms);
-        self.instances.is_leaving() || unproven.any(|instance| instance.is_leaving)
+    fn is_any_leaving(&self) -> bool {
+        self.instances.is_leaving()
+            || self.instances.has_dropped_instances()
+            || self.instances.unproven().any(|instance| instance.is_leaving)
     }
 
     fn is_any_cold(&self, now_ms: u64) -> bool {
-        self.running_instances(now_ms).any(|running| running.cold_until_ms > now_ms)
+        self.running_instances().any(|running| running.cold_until_ms > now_ms)
     }
 
     fn admit_cold(
--- a/src/connection/target_instance.rs
+++ b/src/connection/target_instance.rs
@@ -57,8 +57,8 @@
     /// Time of its last sign of life, a report or a segment.
     pub last_seen_ms: u64,
     pub(super) last_report_ms: u64,
-    /// Time since when it reports without a report of the current instance in between.
-    pub(super) reporting_since_ms: u64,
+    /// Its reports since the last one of the current instance.
+    pub(super) run: ReportRun,
 }
 
 impl Instance {
@@ -68,7 +68,7 @@
             cold_until_ms: now_ms.saturating_add(report.cold_remaining_ms),
             last_seen_ms: now_ms,
             last_report_ms: now_ms,
-            reporting_since_ms: now_ms,
+            run: ReportRun::new(now_ms),
             report,
         }
     }
@@ -87,11 +87,48 @@
         self.cold_until_ms = now_ms.saturating_add(report.cold_remaining_ms);
         self.last_seen_ms = now_ms;
         self.last_report_ms = now_ms;
+        self.run.note_report(now_ms);
         self.report = report;
         true
     }
 }
 
+/// Reports of one instance without a report of another one in between.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct ReportRun {
+    reports: u32,
+    pub first_ms: u64,
+    last_ms: u64,
+}
+
+impl ReportRun {
+    /// A run of one report.
+    pub fn new(now_ms: u64) -> ReportRun {
+        ReportRun { reports: 1, first_ms: now_ms, last_ms: now_ms }
+    }
+
+    pub fn note_report(&mut self, now_ms: u64) {
+        if self.reports == 0 {
+            self.first_ms = now_ms;
+        }
+        self.reports = self.reports.saturating_add(1);
+        self.last_ms = now_ms;
+    }
+
+    /// Whether it contains this number of reports, over this time in milliseconds.
+    pub fn reaches(&self, reports: u32, duration_ms: u64) -> bool {
+        self.reports >= reports && self.last_ms.saturating_sub(self.first_ms) >= duration_ms
+    }
+}
+
+/// An instance that may run in place of the current one. It restricts the openings until it has ended.
+#[derive(Clone, Debug)]
+pub(super) struct UnprovenInstance {
+    pub instance: Instance,
+    /// Reports of the current instance since the last one of this instance.
+    pub outlasted_by: ReportRun,
+}
+
 /// An instance that another one has replaced.
 #[derive(Clone, Debug)]
 pub(super) struct PastInstance {
--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -3,7 +3,8 @@
 //! An agent hears of instances by reports and leave calls, which may be late, doubled or from others, and whose
 //! start times come from clocks that step. An instance therefore replaces another one only if that has ended
 //! for certain, or if it keeps reporting while the other does not: only a running target reports again and
-//! again. Until then both restrict the openings.
+//! again. Both restrict the openings until one of them has ended. That reports stay away shows nothing: a target
+//! may serve on, and drain, while its calls to the agent are held up.
 
 use std::collections::VecDeque;
 
@@ -13,7 +14,9 @@
 use crate::connection::target_instance::InstanceKey;
 use crate::connection::target_instance::KnownInstance;
 use crate::connection::target_instance::PastInstance;
+use crate::connection::target_instance::ReportRun;
 use crate::connection::target_instance::TargetInstanceSummary;
+use crate::connection::target_instance::UnprovenInstance;
 use crate::connection::target_report::IgnoredReason;
 use crate::connection::target_report::ReportOutcome;
 use crate::connection::target_report::TargetReport;
@@ -30,6 +33,12 @@
 /// by then a periodic report is missing.
 const CURRENT_SILENT_MS: u64 = 1_000;
 
+/// Reports of the current instance, and minimum time from the first to the last of them in milliseconds, that
+/// show that an instance which reported before them has ended. More than replacing it takes, as a draining that
+/// was confirmed ends with it.
+const END_PROOF_REPORTS: u32 = 3;
+const END_PROOF_MS: u64 = 1_000;
+
 /// Maximum number of instances that are waiting to replace the current one.
 const MAX_UNPROVEN: usize = 4;
 
@@ -70,12 +79,15 @@
     is_connection_refused: bool,
     /// Whether the current instance was believed at the first report after this process's start.
     is_first: bool,
-    unproven: IndexMap<InstanceKey, Instance>,
+    unproven: IndexMap<InstanceKey, UnprovenInstance>,
+    /// Reports of the current instance since another one was last dropped from the full list. `None` if none
+    /// was, or all of them have ended.
+    dropped_outlasted_by: Option<ReportRun>,
     past: VecDeque<PastInstance>,
     /// What balancers know from before this process.
     known: Option<KnownInstance>,
     has_seen_all_flows: bool,
-    /// Time for which a report of an unproven instance restricts the openings, in milliseconds.
+    /// Time after which an instance that was not seen counts as changed by its next report, in milliseconds.
     timeout_ms: u64,
     last_heard_ms: u64,
 }
@@ -90,6 +102,7 @@
             is_connection_refused: false,
             is_first: false,
             unproven: IndexMap::new(),
+            dropped_outlasted_by: None,
             past: VecDeque::new(),
             known: None,
             has_seen_all_flows: false,
@@ -103,14 +116,18 @@
         self.current.as_ref()
     }
 
-    /// Instances that have reported recently beside the current one and may be what runs, but for those that
-    /// have ended, whose reports are late. Openings must suit them, too.
-    pub fn unproven(&self, now_ms: u64) -> impl Iterator<Item = &Instance> {
-        let may_run = move |(key, instance): &(&InstanceKey, &Instance)| {
-            now_ms.saturating_sub(instance.last_report_ms) < self.timeout_ms
-                && !self.past_instance(key).is_some_and(|past| past.has_ended)
+    /// Instances that have reported beside the current one and may be what runs, but for those that have ended,
+    /// whose reports are late. Openings must suit them, too.
+    pub fn unproven(&self) -> impl Iterator<Item = &Instance> {
+        let may_run = |(key, _): &(&InstanceKey, &UnprovenInstance)| {
+            !self.past_instance(key).is_some_and(|past| past.has_ended)
         };
-        self.unproven.iter().filter(may_run).map(|(_, instance)| instance)
+        self.unproven.iter().filter(may_run).map(|(_, unproven)| &unproven.instance)
+    }
+
+    /// Whether instances may run that are no longer listed; what they have reported is not known.
+    pub fn has_dropped_instances(&self) -> bool {
+        self.dropped_outlasted_by.is_some()
     }
 
     fn past_instance(&self, key: &InstanceKey) -> Option<&PastInstance> {
@@ -176,12 +193,16 @@
             return self.replace_current(instance, ReportOutcome::NewLife, now_ms);
         }
         match self.unproven.get_mut(&key) {
-            Some(instance) => {
-                if !instance.apply(report, now_ms) {
+            Some(unproven) => {
+                if !unproven.instance.apply(report, now_ms) {
                     return ReportOutcome::Ignored(IgnoredReason::EarlierSequence);
                 }
+                unproven.outlasted_by = ReportRun::default();
+            }
+            None => {
+                let instance = Instance::new(report, now_ms);
+                self.add_unproven(key.clone(), instance, ReportRun::default(), now_ms);
             }
-            None => self.add_unproven(key.clone(), Instance::new(report, now_ms)),
         }
         if !self.is_proven(&key, now_ms) {
             return ReportOutcome::Ignored(match has_ended {
@@ -190,7 +211,9 @@
             });
         }
         match self.unproven.shift_remove(&key) {
-            Some(instance) => self.replace_current(instance, ReportOutcome::Replaced, now_ms),
+            Some(unproven) => {
+                self.replace_current(unproven.instance, ReportOutcome::Replaced, now_ms)
+            }
             None => ReportOutcome::Ignored(IgnoredReason::Unproven),
         }
     }
@@ -219,6 +242,7 @@
         self.is_connection_refused = true;
         self.known = None;
         self.unproven.clear();
+        self.dropped_outlasted_by = None;
     }
 
     /// Notes that the target has sent a segment. If its process was assumed to have ended, it may still
@@ -239,7 +263,7 @@
 
     /// Takes over what a balancer knows from before the start of this process. An instance that reported
     /// first, and is not the known one, may be a late report, and has to prove that it runs.
-    pub fn note_known(&mut self, known: KnownInstance) {
+    pub fn note_known(&mut self, known: KnownInstance, now_ms: u64) {
         let is_superseded = self.known.is_some_and(|older| older.as_of >= known.as_of);
         if is_superseded || self.is_connection_refused {
             return;
@@ -254,7 +278,8 @@
         } else if self.is_first {
             self.known = Some(known);
             if let Some(first) = self.current.take() {
-                self.add_unproven(first.key(), first);
+                let key = first.key();
+                self.add_unproven(key, first, ReportRun::default(), now_ms);
             }
             self.is_first = false;
             self.has_seen_all_flows = false;
@@ -289,8 +314,8 @@
             && before.report.slots == current.report.slots
             && now_ms.saturating_sub(before.last_seen_ms) < self.timeout_ms
             && (before.cold_until_ms > now_ms) == (current.cold_until_ms > now_ms);
-        self.restart_proofs(now_ms);
-        if is_same { ReportOutcome::Same } else { ReportOutcome::Changed }
+        let has_draining_ended = self.outlast_others(now_ms);
+        if is_same && !has_draining_ended { ReportOutcome::Same } else { ReportOutcome::Changed }
     }
 
     /// Whether an instance that is not a past one may be the next at its first report: no other one can run.
@@ -302,32 +327,70 @@
     }
 
     fn is_proven(&self, key: &InstanceKey, now_ms: u64) -> bool {
-        let reporting_ms = self.unproven.get(key).map_or(0, |instance| {
-            instance.last_report_ms.saturating_sub(instance.reporting_since_ms)
-        });
+        let keeps_reporting = self
+            .unproven
+            .get(key)
+            .is_some_and(|unproven| unproven.instance.run.reaches(2, MIN_REPORTING_MS));
         let current_silent_ms = self
             .current
             .as_ref()
             .map_or(CURRENT_SILENT_MS, |current| now_ms.saturating_sub(current.last_report_ms));
-        reporting_ms >= MIN_REPORTING_MS
-            && (current_silent_ms >= CURRENT_SILENT_MS || self.has_ended())
+        keeps_reporting && (current_silent_ms >= CURRENT_SILENT_MS || self.has_ended())
     }
 
-    /// Makes the unproven instances prove again that they run, as the current one has reported. They keep their
-    /// restrictions for a while, since that report may be the late one.
-    fn restart_proofs(&mut self, now_ms: u64) {
-        let timeout_ms = self.timeout_ms;
-        self.unproven.retain(|_, instance| {
-            instance.reporting_since_ms = now_ms;
-            now_ms.saturating_sub(instance.last_report_ms) < timeout_ms
+    /// Makes the unproven instances prove again that they run, as the current one has reported, and removes those
+    /// that are shown to have ended. Returns whether one of them drained.
+    fn outlast_others(&mut self, now_ms: u64) -> bool {
+        let has_outlasted = |run: &mut ReportRun| {
+            run.note_report(now_ms);
+            run.reaches(END_PROOF_REPORTS, END_PROOF_MS)
+        };
+        let have_dropped_ended = self.dropped_outlasted_by.as_mut().is_some_and(has_outlasted);
+        if have_dropped_ended {
+            self.dropped_outlasted_by = None;
+        }
+        let mut has_draining_ended = have_dropped_ended;
+        self.unproven.retain(|_, unproven| {
+            unproven.instance.run = ReportRun::default();
+            let has_ended = has_outlasted(&mut unproven.outlasted_by);
+            has_draining_ended |= has_ended && unproven.instance.is_leaving;
+            !has_ended
         });
+        has_draining_ended
     }
 
-    fn add_unproven(&mut self, key: InstanceKey, instance: Instance) {
+    fn add_unproven(
+        &mut self,
+        key: InstanceKey,
+        instance: Instance,
+        outlasted_by: ReportRun,
+        now_ms: u64,
+    ) {
         if self.unproven.len() >= MAX_UNPROVEN {
-            self.unproven.shift_remove_index(0);
+            self.drop_unproven(now_ms);
         }
-        self.unproven.insert(key, instance);
+        self.unproven.insert(key, UnprovenInstance { instance, outlasted_by });
+    }
+
+    /// Drops the oldest unproven instance, if possible one that restricts nothing.
+    fn drop_unproven(&mut self, now_ms: u64) {
+        let unrestricting = self.unproven.iter().position(|(key, unproven)| {
+            self.past_instance(key).is_some_and(|past| past.has_ended)
+                || !self.is_restricted_by(&unproven.instance, now_ms)
+        });
+        if unrestricting.is_none() {
+            self.dropped_outlasted_by = Some(ReportRun::default());
+        }
+        self.unproven.shift_remove_index(unrestricting.unwrap_or(0));
+    }
+
+    /// Whether an opening that suits the current instance may not suit this one.
+    fn is_restricted_by(&self, instance: &Instance, now_ms: u64) -> bool {
+        let is_same_service = self
+            .current
+            .as_ref()
+            .is_some_and(|current| current.report.service == instance.report.service);
+        !is_same_service || instance.is_leaving || instance.cold_until_ms > now_ms
     }
 
     fn replace_current(
@@ -344,13 +407,20 @@
         self.has_seen_all_flows = outcome == ReportOutcome::NewLife
             && (has_observed_end || next.report.sequence == FIRST_SEQUENCE);
         let key = next.key();
+        let run = next.run;
         self.past.retain(|past| past.key != key);
+        for unproven in self.unproven.values_mut() {
+            let is_before_run = unproven.instance.last_report_ms <= run.first_ms;
+            unproven.outlasted_by = if is_before_run { run } else { ReportRun::new(now_ms) };
+            unproven.instance.run = ReportRun::default();
+        }
+        self.dropped_outlasted_by = self.dropped_outlasted_by.map(|_| ReportRun::new(now_ms));
         if let Some(past) = self.current.replace(next) {
             let (key, last_sequence) = (past.key(), past.report.sequence);
             let has_ended = outcome == ReportOutcome::NewLife;
             self.past.push_back(PastInstance { key: key.clone(), last_sequence, has_ended });
             if !has_ended {
-                self.add_unproven(key, past);
+                self.add_unproven(key, past, run, now_ms);
             }
         }
         if self.past.len() > MAX_PAST_INSTANCES {
@@ -359,7 +429,6 @@
         self.has_left = false;
         self.is_leave_unverified = false;
         self.is_connection_refused = false;
-        self.restart_proofs(now_ms);
         outcome
     }
 }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -246,7 +246,7 @@
             && known.as_of.0 < self.introduction.incarnation()
             && !self.introduction.is_complete(now_ms)
         {
-            self.gate.note_known_instance(known);
+            self.gate.note_known_instance(known, now_ms);
         }
         let position = probe.configuration.or_in_era(self.configuration_position.era);
         if position.revision == 0 || position < self.configuration_position {
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -3,6 +3,8 @@
 #[macro_use]
 mod support;
 
+use std::ops::Range;
+
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -59,11 +61,21 @@
 fn restarted(before: &TargetGate, now_ms: u64) -> TargetGate {
     let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(now_ms);
     if let Some(known) = known(before) {
-        gate.note_known_instance(known);
+        gate.note_known_instance(known, now_ms);
     }
     gate
 }
 
+/// Checks that a target that is heard, but does not report, gets no opening.
+fn assert_refused_as_leaving(gate: &mut TargetGate, during_ms: Range<u64>) {
+    for now_ms in during_ms.step_by(100) {
+        gate.note_seen(now_ms);
+        let answer = admit(gate, "vypocet", now_ms);
+        assert_eq!(answer, Err(RefusalReason::Leaving), "at {now_ms} ms");
+        assert_eq!(gate.phase(now_ms), TargetPhase::Leaving);
+    }
+}
+
 fn ignored(reason: IgnoredReason) -> ReportOutcome {
     ReportOutcome::Ignored(reason)
 }
@@ -140,7 +152,7 @@
         let before = gate();
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
         assert_eq!(gate.apply_report(report_of("late", 500, 9), 510), ReportOutcome::NewLife);
-        gate.note_known_instance(known(&before).expect("the target is known"));
+        gate.note_known_instance(known(&before).expect("the target is known"), 511);
         assert!(admit(&mut gate, "vypocet", 511).is_err());
         assert!(!gate.has_seen_all_flows());
         assert_eq!(gate.apply_report(report_of("a", 1_000, 2), 770), ReportOutcome::NewLife);
@@ -149,9 +161,9 @@
         let before = gate();
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
         gate.note_connection_refused();
-        gate.note_known_instance(known(&before).expect("the target is known"));
+        gate.note_known_instance(known(&before).expect("the target is known"), 511);
         assert_eq!(gate.apply_report(report_of("b", 400, 1), 510), ReportOutcome::NewLife);
-        gate.note_known_instance(known(&before).expect("the target is known"));
+        gate.note_known_instance(known(&before).expect("the target is known"), 511);
         assert_eq!(admit(&mut gate, "vypocet", 511), Ok(()));
     };
     another_writer_does_not_take_the_place_of_a_running_target: {
@@ -225,6 +237,66 @@
         assert_eq!((used, more.count()), (3, 0));
         assert_eq!(admit(&mut gate, "vypocet", 1_300), Ok(()));
     };
+    // A draining that was confirmed ended with a timer on the reports, while the target served on.
+    confirmed_draining_of_an_unproven_instance_holds_while_no_report_arrives: {
+        let mut gate = gate();
+        let outcome = gate.apply_report(draining(report_of("b", 400, 1)), 900);
+        assert_eq!(outcome, ignored(IgnoredReason::Unproven));
+        assert_refused_as_leaving(&mut gate, 900..20_000);
+    };
+    // The same after the report of another instance had taken the place of the draining one.
+    confirmed_draining_of_a_replaced_instance_holds_while_no_report_arrives: {
+        let mut gate = gate();
+        gate.apply_report(draining(report_of("a", 1_000, 2)), 700);
+        gate.apply_report(report_of("b", 400, 1), 1_800);
+        assert_eq!(gate.apply_report(report_of("b", 400, 2), 2_400), ReportOutcome::Replaced);
+        assert_refused_as_leaving(&mut gate, 2_400..20_000);
+    };
+    // A confirmed draining was dropped from a full list of instances.
+    reports_of_other_writers_take_back_no_confirmed_draining: {
+        let mut gate = gate();
+        gate.apply_report(draining(report_of("b", 400, 1)), 900);
+        for number in 0..40 {
+            gate.apply_report(report_of(&format!("other-{number}"), 5_000 + number, 1), 910);
+        }
+        assert_refused_as_leaving(&mut gate, 910..20_000);
+    };
+    draining_ends_once_the_host_refuses_connections: {
+        let mut gate = gate();
+        gate.apply_report(draining(report_of("b", 400, 1)), 900);
+        gate.note_connection_refused();
+        assert_eq!(gate.apply_report(report_of("c", 5_000, 1), 1_500), ReportOutcome::NewLife);
+        assert_eq!(admit(&mut gate, "vypocet", 1_501), Ok(()));
+    };
+    one_draining_report_of_another_writer_closes_a_running_target_for_three_reports: {
+        let mut gate = gate();
+        gate.apply_report(draining(report_of("other", 9_000, 1)), 400);
+        for (sequence, now_ms) in [(2, 770), (3, 1_540)] {
+            gate.apply_report(report_of("a", 1_000, sequence), now_ms);
+            assert_eq!(admit(&mut gate, "vypocet", now_ms), Err(RefusalReason::Leaving));
+        }
+        assert_eq!(gate.apply_report(report_of("a", 1_000, 4), 2_310), ReportOutcome::Changed);
+        assert_eq!(admit(&mut gate, "vypocet", 2_311), Ok(()));
+        assert_eq!(gate.phase(2_311), TargetPhase::Serving);
+    };
+    // A service that an unproven instance had named was forgotten after a time without its reports.
+    no_opening_of_another_service_reaches_an_unproven_instance_whose_reports_stay_away: {
+        let mut gate = gate();
+        let other = TargetReport { service: "zpravy".to_owned(), ..report_of("b", 400, 1) };
+        gate.apply_report(other, 900);
+        for now_ms in (900..20_000).step_by(100) {
+            gate.note_seen(now_ms);
+            assert!(admit(&mut gate, "vypocet", now_ms).is_err(), "at {now_ms} ms");
+        }
+    };
+    // The time since a report of the current instance counted as time for which another one had reported.
+    a_single_report_after_one_of_the_current_instance_proves_nothing: {
+        let mut gate = gate();
+        gate.apply_report(report_of("late", 500, 7), 100);
+        gate.apply_report(report_of("a", 1_000, 2), 500);
+        let outcome = gate.apply_report(report_of("late", 500, 8), 1_600);
+        assert_eq!(outcome, ignored(IgnoredReason::Unproven));
+    };
     no_order_of_reports_and_calls_deceives_an_agent: {
         for seed in 0..150 {
             Play::new(seed).run();
