An agent that restarts learns that an instance which is not proved yet drains

What callers would see: openings at a target whose draining was confirmed, after its agent has restarted and a late report of the instance before arrives first.

Cause: agents told balancers of the current instance's draining alone (`summary`), so that only this was given back; the draining of an instance that had proved nothing yet, though answered with 200, was lost with the process.

Change: the summary says whether another instance, whose draining was confirmed, may run (one more boolean in the message, field 3). An agent that gets it back takes no openings until its current instance has reported three times over a second, as for an instance that was dropped from the full list. It holds over further restarts.

Ruled out: sending the keys of all unproven instances (a leave call could end the restriction by name, at 9 bytes a key in each status; the proof by reports takes 1.5 to 2.3 s).

Test, failed before: draining_of_an_unproven_instance_is_kept_over_a_restart_of_the_agent.

--- a/src/connection/target_instance.rs
+++ b/src/connection/target_instance.rs
@@ -32,6 +32,8 @@
     pub hash: u64,
     /// Whether it is draining.
     pub is_leaving: bool,
+    /// Whether another instance, whose draining was confirmed, may run in its place.
+    pub is_other_leaving: bool,
 }
 
 /// What balancers remember of an agent's target and give back to the agent when it starts.
@@ -41,6 +43,8 @@
     pub hash: u64,
     /// Whether it is draining.
     pub is_leaving: bool,
+    /// Whether another instance, whose draining was confirmed, may run in its place.
+    pub is_other_leaving: bool,
     /// Incarnation of the agent, and sequence number of its status, from which this is known.
     pub as_of: (u64, u64),
 }
--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -80,8 +80,8 @@
     /// Whether the current instance was believed at the first report after this process's start.
     is_first: bool,
     unproven: IndexMap<InstanceKey, UnprovenInstance>,
-    /// Reports of the current instance since another one was last dropped from the full list. `None` if none
-    /// was, or all of them have ended.
+    /// Reports of the current instance since another one was last dropped from the full list, or a balancer named
+    /// one that drains. `None` if there was none, or all of them have ended.
     dropped_outlasted_by: Option<ReportRun>,
     past: VecDeque<PastInstance>,
     /// What balancers know from before this process.
@@ -167,12 +167,15 @@
 
     /// What balancers shall remember of the target; `None` if no instance is known to run.
     pub fn summary(&self) -> Option<TargetInstanceSummary> {
+        let is_other_leaving =
+            self.has_dropped_instances() || self.unproven().any(|instance| instance.is_leaving);
         let (hash, is_leaving) = match &self.current {
-            _ if self.has_ended() => return None,
-            Some(current) => (current.key().hash(), current.is_leaving),
+            _ if self.is_connection_refused => return None,
+            _ if self.has_left && !is_other_leaving => return None,
+            Some(current) => (current.key().hash(), current.is_leaving || self.has_left),
             None => self.known.map(|known| (known.hash, known.is_leaving))?,
         };
-        Some(TargetInstanceSummary { hash, is_leaving })
+        Some(TargetInstanceSummary { hash, is_leaving, is_other_leaving })
     }
 
     /// Applies a report.
@@ -268,22 +271,26 @@
         if is_superseded || self.is_connection_refused {
             return;
         }
-        let Some(current) = &mut self.current else {
-            self.known = Some(known);
+        let is_other =
+            self.current.as_ref().is_some_and(|current| current.key().hash() != known.hash);
+        if is_other && !self.is_first {
             return;
-        };
-        if current.key().hash() == known.hash {
-            current.is_leaving |= known.is_leaving;
-            self.known = Some(known);
-        } else if self.is_first {
-            self.known = Some(known);
-            if let Some(first) = self.current.take() {
-                let key = first.key();
-                self.add_unproven(key, first, ReportRun::default(), now_ms);
+        }
+        self.known = Some(known);
+        if known.is_other_leaving {
+            self.dropped_outlasted_by = Some(ReportRun::default());
+        }
+        if !is_other {
+            if let Some(current) = &mut self.current {
+                current.is_leaving |= known.is_leaving;
             }
-            self.is_first = false;
-            self.has_seen_all_flows = false;
+            return;
+        }
+        if let Some(first) = self.current.take() {
+            self.add_unproven(first.key(), first, ReportRun::default(), now_ms);
         }
+        self.is_first = false;
+        self.has_seen_all_flows = false;
     }
 
     fn apply_to_current(&mut self, report: TargetReport, now_ms: u64) -> ReportOutcome {
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -128,6 +128,7 @@
                 known_instance: probe.known_instance.map(|known| wire::TargetInstance {
                     hash: known.hash,
                     leaving: known.is_leaving,
+                    other_leaving: known.is_other_leaving,
                 }),
                 known_instance_lifetime: probe.known_instance.map_or(0, |known| known.as_of.0),
                 known_instance_sequence: probe.known_instance.map_or(0, |known| known.as_of.1),
@@ -170,6 +171,7 @@
                 known_instance: probe.known_instance.map(|known| KnownInstance {
                     hash: known.hash,
                     is_leaving: known.leaving,
+                    is_other_leaving: known.other_leaving,
                     as_of: (probe.known_instance_lifetime, probe.known_instance_sequence),
                 }),
             }),
@@ -217,6 +219,7 @@
         instance: status.instance.map(|instance| wire::TargetInstance {
             hash: instance.hash,
             leaving: instance.is_leaving,
+            other_leaving: instance.is_other_leaving,
         }),
     }
 }
@@ -245,6 +248,7 @@
         instance: status.instance.map(|instance| TargetInstanceSummary {
             hash: instance.hash,
             is_leaving: instance.leaving,
+            is_other_leaving: instance.other_leaving,
         }),
     })
 }
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -242,6 +242,7 @@
                 entry.known_instance = Some(KnownInstance {
                     hash: instance.hash,
                     is_leaving: instance.is_leaving,
+                    is_other_leaving: instance.is_other_leaving,
                     as_of: (status.incarnation, status.sequence),
                 });
             }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -361,6 +361,9 @@
     /// It is draining.
     #[prost(bool, tag = "2")]
     pub leaving: bool,
+    /// Another instance, whose draining was confirmed, may run in its place.
+    #[prost(bool, tag = "3")]
+    pub other_leaving: bool,
 }
 /// What an agent says of itself and of its target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -500,7 +500,7 @@
     };
     the_instance_of_a_target_is_given_back_to_an_agent_that_starts_again: {
         let mut balancer = balancer();
-        let instance = Some(TargetInstanceSummary { hash: 5, is_leaving: true });
+        let instance = Some(TargetInstanceSummary { hash: 5, is_leaving: true, is_other_leaving: true });
         let before = TargetStatus { instance, sequence: 2, ..status_of(22, "b", "vypocet") };
         balancer.targets.apply_status(before.clone(), 0, 1);
         assert_eq!(balancer.targets.instance_to_give_back(agent(22)), None);
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -53,8 +53,8 @@
 
 /// What a balancer knows of the target from before an agent's start.
 fn known(gate: &TargetGate) -> Option<KnownInstance> {
-    let TargetInstanceSummary { hash, is_leaving } = gate.instance_summary()?;
-    Some(KnownInstance { hash, is_leaving, as_of: (1, 1) })
+    let TargetInstanceSummary { hash, is_leaving, is_other_leaving } = gate.instance_summary()?;
+    Some(KnownInstance { hash, is_leaving, is_other_leaving, as_of: (1, 1) })
 }
 
 /// A gate of an agent that has started at `now_ms` in place of another one.
@@ -297,6 +297,21 @@
         let outcome = gate.apply_report(report_of("late", 500, 8), 1_600);
         assert_eq!(outcome, ignored(IgnoredReason::Unproven));
     };
+    // Balancers gave back the draining of the current instance alone.
+    draining_of_an_unproven_instance_is_kept_over_a_restart_of_the_agent: {
+        let mut before = gate();
+        before.apply_report(draining(report_of("b", 400, 1)), 100);
+        let mut gate = restarted(&before, 500);
+        gate.apply_report(report_of("a", 1_000, 2), 510);
+        assert_refused_as_leaving(&mut gate, 510..1_000);
+        let mut again = restarted(&gate, 1_000);
+        again.apply_report(report_of("a", 1_000, 3), 1_010);
+        assert_refused_as_leaving(&mut again, 1_010..9_000);
+        for (sequence, now_ms) in [(4, 9_000), (5, 9_770)] {
+            again.apply_report(report_of("a", 1_000, sequence), now_ms);
+        }
+        assert_eq!(admit(&mut again, "vypocet", 9_771), Ok(()));
+    };
     no_order_of_reports_and_calls_deceives_an_agent: {
         for seed in 0..150 {
             Play::new(seed).run();
