A leave call of an instance that was not current counts until the host has been checked

What callers would see: openings at a target that had said that it exits, and had been answered with 200.

Cause: a leave call that names an instance which is not proved yet dropped it from the list, so that openings went on to the address as if the current instance ran there. One that names an instance of which the agent knows nothing, as after its own start, left no trace: a report from before the call, which arrives after it, made that instance the current one.

Each named instance is remembered as ended, and all reports of it that are still to come as late.

Ruled out: another answer than 200 for unknown instances: the sender exits whatever it gets, and tries further addresses first.

Tests, failed before: draining_ends_with_the_instance_that_a_leave_call_names, a_report_from_before_a_leave_call_does_not_bring_the_instance_back.

--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -50,7 +50,7 @@
 pub enum LeaveOutcome {
     /// The current instance has ended.
     Ended,
-    /// It may have been another instance of the same id. The target gets no openings until it reports again,
+    /// It may be of the instance that runs. The target gets no openings until the current instance reports again,
     /// and has ended once its host refuses connections.
     Unverified,
     /// It is of another instance.
@@ -74,6 +74,7 @@
     current: Option<Instance>,
     /// Whether the current instance has called that it leaves.
     has_left: bool,
+    /// Whether a leave call may have been of the instance that runs, and no report of the current one followed.
     is_leave_unverified: bool,
     /// Whether the target's host has refused a connection since the target was last heard.
     is_connection_refused: bool,
@@ -150,7 +151,7 @@
         self.is_connection_refused
     }
 
-    /// Whether a leave call of the current instance's id has to be checked at the host.
+    /// Whether a leave call has to be checked at the host.
     pub fn is_leave_unverified(&self) -> bool {
         self.is_leave_unverified
     }
@@ -223,21 +224,34 @@
 
     /// Applies the leave call of an instance; `started_ms` is `None` if the call does not say which.
     pub fn note_leave(&mut self, id: &str, started_ms: Option<u64>) -> LeaveOutcome {
-        self.unproven.retain(|key, _| key.id != id || Some(key.started_ms) != started_ms);
-        match &self.current {
-            Some(current) if current.report.id != id || self.has_left => {
-                LeaveOutcome::OtherInstance
-            }
-            Some(current) if started_ms == Some(current.report.started_ms) => {
-                self.has_left = true;
-                LeaveOutcome::Ended
-            }
-            Some(_) if started_ms.is_none() => {
-                self.is_leave_unverified = true;
-                LeaveOutcome::Unverified
-            }
-            Some(_) | None => LeaveOutcome::OtherInstance,
+        let is_current = self.current.as_ref().is_some_and(|current| {
+            current.report.id == id && started_ms.is_none_or(|ms| ms == current.report.started_ms)
+        });
+        if is_current && self.has_left {
+            return LeaveOutcome::OtherInstance;
         }
+        if is_current && started_ms.is_some() {
+            self.has_left = true;
+            return LeaveOutcome::Ended;
+        }
+        let may_run = match started_ms {
+            Some(started_ms) => self.end_other(InstanceKey { id: id.to_owned(), started_ms }),
+            None => is_current || self.unproven.keys().any(|key| key.id == id),
+        };
+        if !may_run {
+            return LeaveOutcome::OtherInstance;
+        }
+        self.is_leave_unverified = true;
+        LeaveOutcome::Unverified
+    }
+
+    /// Records that an instance other than the current one has left: its reports that are still to come are late.
+    /// Returns whether it may have been what ran.
+    fn end_other(&mut self, key: InstanceKey) -> bool {
+        let may_run = self.unproven.shift_remove(&key).is_some();
+        self.past.retain(|past| past.key != key);
+        self.add_past(PastInstance { key, last_sequence: u64::MAX, has_ended: true });
+        may_run
     }
 
     /// Notes that the target's host refuses connections: no instance runs.
@@ -366,6 +380,13 @@
         has_draining_ended
     }
 
+    fn add_past(&mut self, past: PastInstance) {
+        if self.past.len() >= MAX_PAST_INSTANCES {
+            self.past.pop_front();
+        }
+        self.past.push_back(past);
+    }
+
     fn add_unproven(
         &mut self,
         key: InstanceKey,
@@ -425,14 +446,11 @@
         if let Some(past) = self.current.replace(next) {
             let (key, last_sequence) = (past.key(), past.report.sequence);
             let has_ended = outcome == ReportOutcome::NewLife;
-            self.past.push_back(PastInstance { key: key.clone(), last_sequence, has_ended });
+            self.add_past(PastInstance { key: key.clone(), last_sequence, has_ended });
             if !has_ended {
                 self.add_unproven(key, past, run, now_ms);
             }
         }
-        if self.past.len() > MAX_PAST_INSTANCES {
-            self.past.pop_front();
-        }
         self.has_left = false;
         self.is_leave_unverified = false;
         self.is_connection_refused = false;
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -261,6 +261,18 @@
         }
         assert_refused_as_leaving(&mut gate, 910..20_000);
     };
+    draining_ends_with_the_instance_that_a_leave_call_names: {
+        let mut gate = gate();
+        gate.apply_report(draining(report_of("b", 400, 1)), 900);
+        assert_eq!(gate.note_leave("b", Some(400)), LeaveOutcome::Unverified);
+        assert!(gate.is_suspected(0), "the host has to be checked");
+        assert_refused_as_leaving(&mut gate, 900..1_000);
+        gate.apply_report(report_of("a", 1_000, 2), 1_000);
+        assert_eq!(admit(&mut gate, "vypocet", 1_001), Ok(()));
+        let late = gate.apply_report(draining(report_of("b", 400, 2)), 1_100);
+        assert_eq!(late, ignored(IgnoredReason::PastInstance));
+        assert_eq!(admit(&mut gate, "vypocet", 1_101), Ok(()));
+    };
     draining_ends_once_the_host_refuses_connections: {
         let mut gate = gate();
         gate.apply_report(draining(report_of("b", 400, 1)), 900);
@@ -312,6 +324,14 @@
         }
         assert_eq!(admit(&mut again, "vypocet", 9_771), Ok(()));
     };
+    // The report of a target that had left, held up over the start of its agent, made it the current one.
+    a_report_from_before_a_leave_call_does_not_bring_the_instance_back: {
+        let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(0);
+        assert_eq!(gate.note_leave("a", Some(1_000)), LeaveOutcome::OtherInstance);
+        let late = gate.apply_report(report_of("a", 1_000, 9), 100);
+        assert_eq!(late, ignored(IgnoredReason::PastInstance));
+        assert!(admit(&mut gate, "vypocet", 101).is_err());
+    };
     no_order_of_reports_and_calls_deceives_an_agent: {
         for seed in 0..150 {
             Play::new(seed).run();
