A late announcement takes back neither the draining nor the place of a target's process

An agent applied every announcement. A late one of the process that had called `leave`, or of the process before it, ended the draining of the one that ran: with the same identity the agent's record and its flows stopped draining while its admission refused (so that balancers went on sending there), with the earlier identity admission took requests as well. A process that drained and stopped renewing was served again by a late copy of its announcement.

Change: an agent remembers the identities of 16 past processes and answers announcements of them, and of a process that drains, with 409, event 415 and a counter by reason (`refused_announcements`).

Ruled out: ordering announcements by time (their senders' clocks step).

Not covered: an agent that restarts knows no identities; a draining target that announces itself to it has to call `leave` again.

--- a/src/process/agent_admin.rs
+++ b/src/process/agent_admin.rs
@@ -19,6 +19,7 @@
 use crate::process::admin::AdminView;
 use crate::process::agent_shared::AgentShared;
 use crate::process::agent_shared::Announcement;
+use crate::process::agent_state::AnnouncementRefusal;
 use crate::version::records::configuration_digest;
 use crate::version::service::is_valid_name;
 
@@ -114,7 +115,7 @@
         return (Status::ServiceUnavailable, Json(json!({"error": "the agent is stopping"})));
     }
     let body = body.into_inner();
-    shared.handle_announcement(Announcement {
+    let applied = shared.handle_announcement(Announcement {
         service: body.service,
         address: body.address,
         slots: body.slots,
@@ -122,7 +123,10 @@
         process: body.process,
         warm: body.warm,
     });
-    term_response(shared)
+    match applied {
+        Ok(()) => term_response(shared),
+        Err(refusal) => (Status::Conflict, Json(json!({"error": announcement_error(refusal)}))),
+    }
 }
 
 #[post("/renew", data = "<body>")]
@@ -146,6 +150,17 @@
     (Status::Ok, Json(json!({"busy": busy})))
 }
 
+fn announcement_error(refusal: AnnouncementRefusal) -> &'static str {
+    match refusal {
+        AnnouncementRefusal::PastProcess => {
+            "another process has announced itself since; a new process needs a new identity"
+        }
+        AnnouncementRefusal::Leaving => {
+            "this process is leaving; a new process needs a new identity"
+        }
+    }
+}
+
 fn term_response(shared: &AgentShared) -> JsonResponse {
     (Status::Ok, Json(json!({"term_ms": shared.settings().target_term_ms})))
 }
--- a/src/process/agent_shared.rs
+++ b/src/process/agent_shared.rs
@@ -21,6 +21,7 @@
 use crate::log_event;
 use crate::process::agent_socket::make_tag;
 use crate::process::agent_state::AgentState;
+use crate::process::agent_state::AnnouncementRefusal;
 use crate::process::agent_state::Decision;
 use crate::process::agent_state::Input;
 use crate::process::agent_state::TICKET_BOUNDS;
@@ -30,6 +31,7 @@
 use crate::process::events::Event;
 use crate::process::keys::ClusterKeys;
 use crate::process::metrics::AgentMetrics;
+use crate::process::metrics::count;
 use crate::process::settings::AgentSettings;
 use crate::process::trace::Trace;
 use crate::process::upstream::Upstream;
@@ -304,9 +306,19 @@
         self.keys.tag_keys.seal(&tag)
     }
 
-    /// Applies an announcement of the target. An announcement for another service starts a new
-    /// incarnation.
-    pub fn handle_announcement(&self, announcement: Announcement) {
+    /// Applies an announcement of the target, unless it is a late one. An announcement for another service
+    /// starts a new incarnation.
+    pub fn handle_announcement(
+        &self,
+        announcement: Announcement,
+    ) -> Result<(), AnnouncementRefusal> {
+        let refusal = self.with_state(|state| state.announcement_refusal(&announcement.process));
+        if let Some(refusal) = refusal {
+            let process = &announcement.process;
+            log_event!(Event::ReportIgnored, "reason={} process={process}", refusal.as_str());
+            count(&self.metrics.refused_announcements, refusal.as_str());
+            return Err(refusal);
+        }
         let previous = self.announcement();
         let is_other_service =
             previous.as_ref().is_some_and(|previous| previous.service != announcement.service);
@@ -342,6 +354,7 @@
         self.draining.send_replace(false);
         self.update_binding();
         self.note_record_change();
+        Ok(())
     }
 
     /// Sets the share of busy slots among all slots of the service, in thousandths.
--- a/src/process/agent_state.rs
+++ b/src/process/agent_state.rs
@@ -3,6 +3,8 @@
 //!
 //! It does no I/O, reads no clock and starts no task: the time comes with each input.
 
+use std::collections::VecDeque;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,6 +24,28 @@
 /// Bounds of an agent's ticket table: 16,384 tickets and 8 MiB of stored answers.
 pub const TICKET_BOUNDS: TicketBounds = TicketBounds { max_entries: 16_384, max_bytes: 8 << 20 };
 
+/// Maximum number of past processes that are remembered to recognize their late announcements.
+const MAX_PAST_PROCESSES: usize = 16;
+
+/// Why an announcement of the target is not applied.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnnouncementRefusal {
+    /// Another process has announced itself since, or this one stopped renewing while it drained.
+    PastProcess,
+    /// The process drains, which is never taken back.
+    Leaving,
+}
+
+impl AnnouncementRefusal {
+    /// Label in metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AnnouncementRefusal::PastProcess => "past-process",
+            AnnouncementRefusal::Leaving => "leaving",
+        }
+    }
+}
+
 /// Identity of a ticket whose MAC was verified.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TicketId {
@@ -148,6 +172,7 @@
     openings: Openings,
     tickets: TicketBook,
     process: Option<String>,
+    past_processes: VecDeque<String>,
 }
 
 impl AgentState {
@@ -159,6 +184,7 @@
             openings: Openings::new(),
             tickets: TicketBook::new(incarnation, bounds),
             process: None,
+            past_processes: VecDeque::new(),
         }
     }
 
@@ -177,6 +203,15 @@
         self.process.as_deref()
     }
 
+    /// Why an announcement of this process is not applied; `None` if it is.
+    pub fn announcement_refusal(&self, process: &str) -> Option<AnnouncementRefusal> {
+        if self.past_processes.iter().any(|past| past == process) {
+            return Some(AnnouncementRefusal::PastProcess);
+        }
+        let is_leaving = self.admission.is_leaving() && self.process() == Some(process);
+        is_leaving.then_some(AnnouncementRefusal::Leaving)
+    }
+
     /// Updates the state with one input and returns the decision on it.
     pub fn apply(&mut self, now_ms: u64, input: &Input) -> Decision {
         match input {
@@ -194,7 +229,12 @@
             Input::Leaving => self.admission.target_leaving(),
             Input::Gone => {
                 self.admission.target_gone();
-                self.process = None;
+                let process = self.process.take();
+                if let Some(past) = process
+                    && self.admission.is_leaving()
+                {
+                    self.add_past(past);
+                }
             }
             Input::ZoneOut { out } => self.admission.set_zone_out(*out),
             Input::ServiceLoad { load_permille } => self.openings.set_service_load(*load_permille),
@@ -237,15 +277,29 @@
     }
 
     fn handle_announcement(&mut self, capacity: Capacity, process: &str, warm: bool) {
+        if self.announcement_refusal(process).is_some() {
+            return;
+        }
         if self.process() == Some(process) && self.admission.is_present() {
             self.admission.capacity_changed(capacity);
             self.admission.confirm_same_process();
             return;
         }
-        self.process = Some(process.to_owned());
+        if let Some(past) = self.process.replace(process.to_owned())
+            && past != process
+        {
+            self.add_past(past);
+        }
         self.admission.target_started(capacity, warm);
     }
 
+    fn add_past(&mut self, process: String) {
+        if self.past_processes.len() >= MAX_PAST_PROCESSES {
+            self.past_processes.pop_front();
+        }
+        self.past_processes.push_back(process);
+    }
+
     fn handle_flow_start(&mut self, key: &OpeningKey) -> Result<(), Refusal> {
         match self.openings.claim(key) {
             Some(OpeningDecision::Accept) => Ok(()),
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -144,6 +144,8 @@
     pub openings: ReasonCounter,
     /// Answers sent to callers, by verdict.
     pub answers: ReasonCounter,
+    /// Announcements of targets that were not applied, by reason.
+    pub refused_announcements: ReasonCounter,
     /// Heartbeats that a monitoring balancer acknowledged.
     pub heartbeats_acknowledged: Counter,
     /// Failed control calls, by reason.
@@ -167,6 +169,7 @@
             datagrams_received: Counter::default(),
             openings: Family::default(),
             answers: Family::default(),
+            refused_announcements: Family::default(),
             heartbeats_acknowledged: Counter::default(),
             call_failures: Family::default(),
             busy_slots: Gauge::default(),
@@ -191,6 +194,11 @@
         registry.register("received", "Datagrams received", self.datagrams_received.clone());
         registry.register("openings", "Opening datagrams, by decision", self.openings.clone());
         registry.register("answers", "Answers, by verdict", self.answers.clone());
+        registry.register(
+            "refused_announcements",
+            "Announcements refused, by reason",
+            self.refused_announcements.clone(),
+        );
         registry.register("reports", "Heartbeats answered", self.heartbeats_acknowledged.clone());
         registry.register("call_failures", "Failed control calls", self.call_failures.clone());
         registry.register("busy_slots", "Requests that run", self.busy_slots.clone());
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -303,19 +303,11 @@
     }
 
     async fn announce_and_renew(self: Arc<Self>) {
-        let announce = json!({
-            "service": self.plan.service,
-            "address": self.plan.listen,
-            "slots": self.plan.slots,
-            "connections": self.plan.connections,
-            "process": self.plan.process,
-            "warm": self.plan.warm,
-        });
         let renew = json!({"process": self.plan.process});
         let mut is_announced = false;
         while !self.lock().is_leaving {
             if !is_announced {
-                is_announced = self.post("announce", &announce).await;
+                is_announced = self.announce().await;
                 sleep(if is_announced { RENEW_INTERVAL } else { RETRY_INTERVAL }).await;
                 continue;
             }
@@ -324,6 +316,19 @@
         }
     }
 
+    /// Announces the target to its agent. Returns whether the agent accepts it.
+    pub async fn announce(&self) -> bool {
+        let body = json!({
+            "service": self.plan.service,
+            "address": self.plan.listen,
+            "slots": self.plan.slots,
+            "connections": self.plan.connections,
+            "process": self.plan.process,
+            "warm": self.plan.warm,
+        });
+        self.post("announce", &body).await
+    }
+
     async fn post(&self, operation: &str, body: &serde_json::Value) -> bool {
         let url = format!("http://{}/v1/target/{operation}", self.plan.agent);
         let answer = reqwest::Client::new().post(url).json(body).send().await;
--- a/tests/failures_target.rs
+++ b/tests/failures_target.rs
@@ -51,6 +51,19 @@
     assert_no_interruption(&report, &system);
 }
 
+/// The announcement of a target that drains arrives a second time.
+async fn target_announced_again_while_it_leaves() {
+    let (system, _folder) = support::start(SystemPlan::new(29)).await;
+    let target = Arc::clone(system.target(0));
+    target.leave().await;
+    assert!(!target.announce().await, "the agent took a draining target back");
+    sleep(NO_NEW_WORK_AFTER).await;
+    let answers = target.stats().answers;
+    let report = start_load(&Load::new(system.load_plan())).await;
+    assert_no_interruption(&report.expect("the load task does not panic"), &system);
+    assert_eq!(target.stats().answers, answers, "a draining target got requests");
+}
+
 async fn agent_stops() {
     let (mut system, _folder) = support::start(SystemPlan::new(22)).await;
     let load = Load::new(system.load_plan());
@@ -220,6 +233,7 @@
 
 cases! {
     leaving_target_cuts_nothing: support::run(target_leaves());
+    a_draining_target_that_is_announced_again_gets_nothing: support::run(target_announced_again_while_it_leaves());
     stopping_agent_cuts_nothing: support::run(agent_stops());
     second_signal: support::run(second_signal_ends_at_once());
     replaced_cold_seed_1: support::run(target_replaced_cold(24, 1));
--- a/tests/target_replaced.rs
+++ b/tests/target_replaced.rs
@@ -13,6 +13,11 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use rhubarbthread::process::agent_state::AgentState;
+use rhubarbthread::process::agent_state::AnnouncementRefusal;
+use rhubarbthread::process::agent_state::Decision;
+use rhubarbthread::process::agent_state::Input;
+use rhubarbthread::process::agent_state::TICKET_BOUNDS;
 use rhubarbthread::process::upstream::Upstream;
 use rhubarbthread::process::upstream::UpstreamError;
 use rhubarbthread::request::admission::Admission;
@@ -86,7 +91,55 @@
     (sent, losses.load(Ordering::Relaxed))
 }
 
+fn announced(process: &str) -> Input {
+    Input::Announced { capacity: CAPACITY, process: process.to_owned(), warm: true }
+}
+
+fn admits(agent: &mut AgentState) -> bool {
+    let is_run =
+        agent.apply(0, &Input::Request { idempotent: true, ticket: None }) == Decision::Run;
+    if is_run {
+        agent.apply(0, &Input::NotSent { ticket: None });
+    }
+    is_run
+}
+
 cases! {
+    // The late announcement of an earlier process lifted the draining of the one that ran.
+    a_late_announcement_of_a_replaced_process_lifts_no_draining: {
+        let mut agent = AgentState::new(1, TICKET_BOUNDS);
+        for input in [announced("first"), announced("second")] {
+            agent.apply(0, &input);
+        }
+        assert!(admits(&mut agent));
+        agent.apply(0, &Input::Leaving);
+        assert_eq!(agent.announcement_refusal("first"), Some(AnnouncementRefusal::PastProcess));
+        agent.apply(0, &announced("first"));
+        assert_eq!(agent.process(), Some("second"));
+        assert!(!admits(&mut agent));
+        agent.apply(0, &announced("third"));
+        assert!(admits(&mut agent));
+    };
+    // A process that drained was served again once it had stopped renewing and its announcement came twice.
+    a_late_announcement_of_a_draining_process_does_not_bring_it_back: {
+        let mut agent = AgentState::new(1, TICKET_BOUNDS);
+        for input in [announced("first"), Input::Leaving, announced("first")] {
+            agent.apply(0, &input);
+        }
+        assert_eq!(agent.announcement_refusal("first"), Some(AnnouncementRefusal::Leaving));
+        assert!(!admits(&mut agent));
+        for input in [Input::Gone, announced("first")] {
+            agent.apply(0, &input);
+        }
+        assert!(!admits(&mut agent));
+    };
+    a_process_that_stopped_renewing_may_announce_itself_again: {
+        let mut agent = AgentState::new(1, TICKET_BOUNDS);
+        for input in [announced("first"), Input::Gone, announced("first")] {
+            agent.apply(0, &input);
+        }
+        assert!(admits(&mut agent));
+    };
     answers_of_the_process_before_do_not_raise_the_limit_of_a_cold_one: {
         let mut admission = warm_admission();
         (0..5).for_each(|_| admission.start_request().expect("the target has nine slots"));
