The cost of a search no longer grows with the agents that restart

Cause: whenever an agent had returned, each queued segment was searched for again: with copies to up to eight agents that were still away, and at the agent that had returned even if it had answered for that flow before its restart. With 20 restarts a second that is hundreds of datagrams a second for each flow that waits. It filled the link of a weak balancer; probes and statuses were lost behind it, agents that ran counted as silent (94 resets as holder-silent at one balancer, none of its agents away for more than 0.6 s), and more flows were searched for. Lost flows waited for as long as any agent was restarting, and were searched for all the while.

Change: copies go to unavailable agents for what a caller has sent alone, not for queued or returned segments. An agent that has answered for a flow is not asked again after its restart, since a flow does not move; only those that could not be asked are (`AskedAgents`), and only these hold up a reset.

Tests, failed before: an_agent_that_is_back_causes_no_copies_to_those_that_are_away, an_agent_that_has_answered_is_not_asked_again_after_its_restart, agents_that_have_answered_and_restart_hold_up_no_reset, a_target_that_started_after_a_search_is_asked, an_upgrade_of_forty_agents_sends_segments_for_transmissions_alone (8,432 copies before).

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -35,7 +35,16 @@
 /// within a few milliseconds, and callers retransmit after 200 ms.
 const SEARCH_TIMEOUT_MS: u64 = 150;
 
-#[derive(Clone, Copy, Debug)]
+/// The agents that have been asked for a flow: those that were known at a change, but for some.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AskedAgents {
+    /// Latest availability change up to which agents have been asked; 0 if none has.
+    pub change: u64,
+    /// Agents that were known by then and have not been asked.
+    pub unasked: Vec<SocketAddrV4>,
+}
+
+#[derive(Clone, Debug)]
 struct Entry {
     holder: Option<SocketAddrV4>,
     is_confirmed: bool,
@@ -44,12 +53,12 @@
     search_window_start_ms: u64,
     search_id: u32,
     search_started_ms: u64,
-    /// The last search asks the agents that became available by changes after the first number, up to the
-    /// second.
+    /// The last search asks the agents that became available by changes after this one.
     asked_change: u64,
-    search_change: u64,
-    /// Latest availability change up to which no agent holds the flow.
-    ruled_out_change: u64,
+    /// Agents that have been asked once the last search is complete.
+    searched: AskedAgents,
+    /// Agents that have answered that they do not hold the flow.
+    ruled_out: AskedAgents,
     ruled_out_ms: u64,
     pending_chains: usize,
     last_offered_ms: u64,
@@ -66,9 +75,13 @@
         is_pending.then(|| now_ms.saturating_sub(self.search_started_ms))
     }
 
-    fn ruled_out_change(&self, now_ms: u64) -> u64 {
+    fn ruled_out(&self, now_ms: u64) -> Option<&AskedAgents> {
         let is_recent = now_ms.saturating_sub(self.ruled_out_ms) < RULED_OUT_MS;
-        if is_recent { self.ruled_out_change } else { 0 }
+        is_recent.then_some(&self.ruled_out)
+    }
+
+    fn ruled_out_change(&self, now_ms: u64) -> u64 {
+        self.ruled_out(now_ms).map_or(0, |asked| asked.change)
     }
 
     /// Whether the window in which searches are counted has ended.
@@ -139,7 +152,8 @@
         entry.is_confirmed = is_confirmed;
         entry.holder = Some(holder);
         entry.search_count = 0;
-        entry.ruled_out_change = 0;
+        entry.ruled_out = AskedAgents::default();
+        entry.searched.unasked = Vec::new();
     }
 
     /// Removes the entry of a flow.
@@ -148,12 +162,13 @@
     }
 
     /// Starts a search along `chains` chains of the agents that became available by these changes, and returns
-    /// its id.
+    /// its id. `unasked` are other agents that are known and have not been asked.
     pub fn begin_search(
         &mut self,
         flow: FlowKey,
         chains: usize,
         changes: &RangeInclusive<u64>,
+        unasked: Vec<SocketAddrV4>,
         now_ms: u64,
     ) -> u32 {
         let search_id = self.next_search_id();
@@ -166,20 +181,27 @@
         entry.search_id = search_id;
         entry.search_started_ms = now_ms;
         entry.asked_change = changes.start() - 1;
-        entry.search_change = *changes.end();
+        entry.searched = AskedAgents { change: *changes.end(), unasked };
         entry.pending_chains = chains;
         search_id
     }
 
-    /// Latest availability change of an agent up to which none holds the flow, as they have answered; 0 if
-    /// none has.
-    pub fn ruled_out_change(&self, flow: &FlowKey, now_ms: u64) -> u64 {
-        self.entries.get(flow).map_or(0, |entry| entry.ruled_out_change(now_ms))
+    /// Agents that have answered that they do not hold the flow.
+    pub fn ruled_out(&self, flow: &FlowKey, now_ms: u64) -> AskedAgents {
+        let ruled_out = self.entries.get(flow).and_then(|entry| entry.ruled_out(now_ms));
+        ruled_out.cloned().unwrap_or_default()
+    }
+
+    /// Notes that no agent that became available up to this change has to be asked.
+    pub fn note_searched_up_to(&mut self, flow: &FlowKey, change: u64) {
+        if let Some(entry) = self.entries.get_mut(flow) {
+            entry.searched.change = entry.searched.change.max(change);
+        }
     }
 
     /// Latest availability change of an agent that the last search for the flow asks; 0 without a search.
     pub fn search_change(&self, flow: &FlowKey) -> u64 {
-        self.entries.get(flow).map_or(0, |entry| entry.search_change)
+        self.entries.get(flow).map_or(0, |entry| entry.searched.change)
     }
 
     /// Whether a search for the flow is pending and has not timed out.
@@ -218,7 +240,7 @@
         entry.last_offered_ms = now_ms;
         entry.offer_count += 1;
         entry.pending_offers += 1;
-        entry.ruled_out_change = 0;
+        entry.ruled_out = AskedAgents::default();
         search_id
     }
 
@@ -276,7 +298,7 @@
         if entry.asked_change > entry.ruled_out_change(now_ms) {
             return SearchState::PartlyNotHeld;
         }
-        entry.ruled_out_change = entry.search_change;
+        entry.ruled_out = entry.searched.clone();
         entry.ruled_out_ms = now_ms;
         SearchState::NotHeld
     }
@@ -309,8 +331,8 @@
             search_id: 0,
             search_started_ms: now_ms,
             asked_change: 0,
-            search_change: 0,
-            ruled_out_change: 0,
+            searched: AskedAgents::default(),
+            ruled_out: AskedAgents::default(),
             ruled_out_ms: 0,
             pending_chains: 0,
             last_offered_ms: 0,
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 
 use crate::connection::flow_key::FlowKey;
+use crate::connection::flow_locations::AskedAgents;
 use crate::connection::flow_locations::FlowLocations;
 use crate::connection::flow_locations::SearchState;
 use crate::connection::segment::Segment;
@@ -31,6 +32,15 @@
 /// never answer.
 const UNTRACKED_SEARCH: u32 = u32::MAX;
 
+/// Why a segment is decided on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Origin {
+    /// Its caller has sent it.
+    Caller,
+    /// It was queued or returned.
+    Balancer,
+}
+
 /// What the balancer does with a segment from a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ForwardingDecision {
@@ -219,6 +229,20 @@
 
     /// Decides what to do with a segment from a caller.
     pub fn decide(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
+        self.decide_from(Origin::Caller, segment, now_ms)
+    }
+
+    /// Decides what to do with a segment that was queued.
+    pub fn decide_again(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
+        self.decide_from(Origin::Balancer, segment, now_ms)
+    }
+
+    fn decide_from(
+        &mut self,
+        origin: Origin,
+        segment: &Segment,
+        now_ms: u64,
+    ) -> ForwardingDecision {
         if !self.routing.is_configured() {
             return ForwardingDecision::Wait(WaitReason::NoConfiguration);
         }
@@ -231,7 +255,7 @@
         if segment.opens {
             self.decide_on_opening(segment, now_ms)
         } else {
-            self.decide_on_established(segment, now_ms)
+            self.decide_on_established(segment, origin, now_ms)
         }
     }
 
@@ -253,7 +277,7 @@
             if self.flow_locations.holder(&flow, now_ms) == Some(agent) {
                 self.flow_locations.remove(&flow);
             }
-            return self.start_search(segment, now_ms);
+            return self.start_search(segment, Origin::Balancer, now_ms);
         }
         let search_state = self.flow_locations.note_not_held(&flow, search_id, now_ms);
         match search_state {
@@ -265,18 +289,19 @@
             SearchState::NotHeld => {}
         }
         if self.reachable_holder(&flow, now_ms).is_some() {
-            return self.decide_on_established(segment, now_ms);
+            return self.decide_on_established(segment, Origin::Balancer, now_ms);
         }
         // An agent that became known or available during the search was not asked.
         if self.targets.note_available_agents(now_ms) > self.flow_locations.search_change(&flow) {
-            return self.start_search(segment, now_ms);
+            return self.start_search(segment, Origin::Balancer, now_ms);
         }
         self.conclude_search(&flow, now_ms)
     }
 
     /// Decides on a flow that no available agent holds.
     fn conclude_search(&mut self, flow: &FlowKey, now_ms: u64) -> ForwardingDecision {
-        match self.targets.unavailable_holder_liveness(now_ms) {
+        let ruled_out = self.flow_locations.ruled_out(flow, now_ms);
+        match self.targets.unavailable_holder_liveness(&ruled_out, now_ms) {
             _ if !self.knows_all_agents => ForwardingDecision::Wait(WaitReason::NotAllAnswered),
             Some(Liveness::Awaited) => ForwardingDecision::Wait(WaitReason::NotAllAnswered),
             Some(_) if !self.is_route_idempotent(flow) => {
@@ -426,10 +451,15 @@
 
     /// Decides to forward a segment that is not an opening to the agent that holds its flow, or to search
     /// for that agent.
-    fn decide_on_established(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
+    fn decide_on_established(
+        &mut self,
+        segment: &Segment,
+        origin: Origin,
+        now_ms: u64,
+    ) -> ForwardingDecision {
         let flow = segment.flow;
         let Some(holder) = self.reachable_holder(&flow, now_ms) else {
-            return self.start_search(segment, now_ms);
+            return self.start_search(segment, origin, now_ms);
         };
         let liveness = self.targets.liveness(holder, now_ms);
         let is_lost = liveness == Some(Liveness::Silent) && !segment.resets;
@@ -467,17 +497,29 @@
         self.routing.route(flow.service).is_some_and(|rule| rule.is_idempotent)
     }
 
-    /// Agents to search for the flow, through the current and the past services of its route, that became
-    /// available after `asked_change`.
-    fn plan_search(&self, flow: &FlowKey, asked_change: u64, now_ms: u64) -> Search {
+    /// Agents to search for the flow, through the current and the past services of its route. See
+    /// [`TargetTable::search`].
+    fn plan_search(
+        &self,
+        flow: &FlowKey,
+        ruled_out: &AskedAgents,
+        asked_change: u64,
+        now_ms: u64,
+    ) -> Search {
         let mut services = self.candidate_services(flow);
         services.extend(self.routing.past_services(flow.service));
-        self.targets.search(&services, flow.hash(), asked_change, now_ms)
+        self.targets.search(&services, flow.hash(), ruled_out, asked_change, now_ms)
     }
 
     /// Sends the segment to the agents that may hold its flow and have not answered that they do not. It is
-    /// queued if there are none, or a search is in progress.
-    fn start_search(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
+    /// queued if there are none, or a search is in progress. Unavailable agents get a copy of what a caller sends,
+    /// but none when another agent has become available: during an upgrade that happens many times a second.
+    fn start_search(
+        &mut self,
+        segment: &Segment,
+        origin: Origin,
+        now_ms: u64,
+    ) -> ForwardingDecision {
         let flow = segment.flow;
         if self.flow_locations.is_search_pending(&flow, now_ms) {
             return ForwardingDecision::Wait(WaitReason::SearchInProgress);
@@ -486,23 +528,28 @@
             self.targets.recheck_all(now_ms);
         }
         self.targets.note_available_agents(now_ms);
-        let ruled_out_change = self.flow_locations.ruled_out_change(&flow, now_ms);
-        let mut search = self.plan_search(&flow, ruled_out_change, now_ms);
+        let ruled_out = self.flow_locations.ruled_out(&flow, now_ms);
+        let mut search = self.plan_search(&flow, &ruled_out, 0, now_ms);
         if search.has_awaited && !self.flow_locations.may_ask_again(&flow, now_ms) {
-            let asked_change = ruled_out_change.max(self.flow_locations.search_change(&flow));
-            search = self.plan_search(&flow, asked_change, now_ms);
+            let asked_change = self.flow_locations.search_change(&flow);
+            search = self.plan_search(&flow, &ruled_out, asked_change, now_ms);
         }
         // A failed agent cuts a chain short. Every second search runs in reverse, so that it reaches the
         // targets behind that agent.
         if self.flow_locations.search_count(&flow) % 2 == 1 {
             search.chains.iter_mut().for_each(|chain| chain.reverse());
         }
-        let copies = self.copies_to_unavailable(&search.unavailable);
+        let copies = match origin {
+            Origin::Caller => self.copies_to_unavailable(&search.unavailable),
+            Origin::Balancer => Vec::new(),
+        };
         if search.chains.is_empty() {
-            return self.decide_without_chains(&flow, copies, ruled_out_change, now_ms);
+            self.flow_locations.note_searched_up_to(&flow, *search.changes.end());
+            return self.decide_without_chains(&flow, copies, ruled_out.change, now_ms);
         }
-        let chains = search.chains.len();
-        let search_id = self.flow_locations.begin_search(flow, chains, &search.changes, now_ms);
+        let (chains, unasked) = (search.chains.len(), search.unasked);
+        let search_id =
+            self.flow_locations.begin_search(flow, chains, &search.changes, unasked, now_ms);
         let mut destinations = copies;
         for mut chain in search.chains {
             let first = chain.remove(0);
@@ -524,12 +571,13 @@
     ) -> ForwardingDecision {
         if ruled_out_change == 0 {
             let was_searched = self.flow_locations.search_change(flow) > 0;
-            return match copies.is_empty() {
-                true => ForwardingDecision::Wait(WaitReason::NoTargetYet),
-                false if was_searched => {
+            return match (copies.is_empty(), was_searched) {
+                (true, true) => ForwardingDecision::Wait(WaitReason::NotAllAnswered),
+                (true, false) => ForwardingDecision::Wait(WaitReason::NoTargetYet),
+                (false, true) => {
                     ForwardingDecision::SendAndWait(copies, WaitReason::NotAllAnswered)
                 }
-                false => ForwardingDecision::Send(copies),
+                (false, false) => ForwardingDecision::Send(copies),
             };
         }
         match self.conclude_search(flow, now_ms) {
--- a/src/process/passthrough/balancer_waiting.rs
+++ b/src/process/passthrough/balancer_waiting.rs
@@ -53,7 +53,7 @@
 
 async fn release(shared: &Shared, releasable: Vec<WaitingSegment>, out: &mut Vec<u8>) {
     for WaitingSegment { segment, datagram, .. } in releasable {
-        let decision = shared.state().decide(&segment, shared.now_ms());
+        let decision = shared.state().decide_again(&segment, shared.now_ms());
         apply_decision(shared, decision, &segment, &datagram, out).await;
     }
 }
--- a/src/version/target_table.rs
+++ b/src/version/target_table.rs
@@ -14,6 +14,7 @@
 
 use indexmap::IndexMap;
 
+use crate::connection::flow_locations::AskedAgents;
 use crate::connection::target_gate::TargetPhase;
 use crate::connection::target_instance::KnownInstance;
 use crate::version::hash::hash64;
@@ -64,6 +65,8 @@
     known_instance: Option<KnownInstance>,
     /// Change by which searches could ask the agent; `None` while they cannot.
     availability_change: Option<u64>,
+    /// First change by which they could.
+    first_availability_change: Option<u64>,
 }
 
 impl TargetEntry {
@@ -95,6 +98,13 @@
     fn may_hold_flows(&self, liveness: Liveness) -> bool {
         !self.has_ended() || (liveness == Liveness::Alive && !self.is_end_direct)
     }
+
+    /// Whether the agent is among those that have been asked for a flow.
+    fn is_asked(&self, data: &SocketAddrV4, asked: &AskedAgents) -> bool {
+        let was_available =
+            self.first_availability_change.is_some_and(|first| first <= asked.change);
+        was_available && !asked.unasked.contains(data)
+    }
 }
 
 /// Addresses and zone of an agent.
@@ -175,6 +185,7 @@
             end_relayed_ms: None,
             known_instance: None,
             availability_change: None,
+            first_availability_change: None,
         };
         self.targets.insert(data, entry);
         true
--- a/src/version/target_table/search.rs
+++ b/src/version/target_table/search.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use crate::connection::flow_locations::AskedAgents;
 use crate::connection::target_gate::TargetPhase;
 use crate::version::hash::hash64_with_seed;
 use crate::version::placing;
@@ -30,6 +31,8 @@
     pub chains: Vec<Vec<SocketAddrV4>>,
     /// Agents that may hold the flow and are awaited or silent; each gets a copy of the segment.
     pub unavailable: Vec<SocketAddrV4>,
+    /// Agents that have not been asked and are not in `chains`, the unavailable ones among them.
+    pub unasked: Vec<SocketAddrV4>,
     /// Whether an agent that may hold the flow is [`Liveness::Awaited`].
     pub has_awaited: bool,
     /// Changes by which the agents in `chains` became available to searches.
@@ -76,25 +79,40 @@
             } else if entry.availability_change.is_none() {
                 self.availability_changes += 1;
                 entry.availability_change = Some(self.availability_changes);
+                entry.first_availability_change.get_or_insert(self.availability_changes);
             }
         }
         self.availability_changes
     }
 
     /// Agents that may hold a flow, ordered by service as in `services`, then by rendezvous score; agents of
-    /// other services come last. Available agents are left out up to the change `asked_change`, see
-    /// [`TargetTable::note_available_agents`].
+    /// other services come last. Those that have answered that they do not are left out, also where they have
+    /// started again since, as a flow does not move; and those that are available since `asked_change` or before,
+    /// see [`TargetTable::note_available_agents`].
     pub fn search(
         &self,
         services: &[&str],
         flow_hash: u64,
+        ruled_out: &AskedAgents,
         asked_change: u64,
         now_ms: u64,
     ) -> Search {
+        let asked_change = asked_change.max(ruled_out.change);
+        let mut search = Search {
+            chains: Vec::new(),
+            unavailable: Vec::new(),
+            unasked: Vec::new(),
+            has_awaited: false,
+            changes: asked_change + 1..=self.availability_changes,
+        };
         let mut ranked = Vec::with_capacity(self.targets.len());
         for (data, entry) in &self.targets {
+            if entry.is_asked(data, ruled_out) {
+                continue;
+            }
             let liveness = self.liveness_of(entry, now_ms);
             if !entry.may_hold_flows(liveness) {
+                search.unasked.push(*data);
                 continue;
             }
             let status = entry.status.as_ref();
@@ -106,12 +124,6 @@
         }
         ranked.sort_unstable_by_key(|(rank, score, ..)| (*rank, *score));
         let mut chains: IndexMap<&str, Vec<SocketAddrV4>> = IndexMap::new();
-        let mut search = Search {
-            chains: Vec::new(),
-            unavailable: Vec::new(),
-            has_awaited: false,
-            changes: asked_change + 1..=self.availability_changes,
-        };
         for (.., data, entry, liveness) in ranked {
             if liveness == Liveness::Alive {
                 if entry.availability_change.is_none_or(|change| change > asked_change) {
@@ -119,6 +131,7 @@
                 }
             } else {
                 search.unavailable.push(data);
+                search.unasked.push(data);
                 search.has_awaited |= liveness == Liveness::Awaited;
             }
         }
@@ -127,10 +140,15 @@
         search
     }
 
-    /// State of the agents that may hold a flow and are not alive: `Awaited` if any of them is awaited,
-    /// else `Silent`; `None` if all are alive.
-    pub fn unavailable_holder_liveness(&self, now_ms: u64) -> Option<Liveness> {
-        let all = self.targets.values().map(|entry| (entry, self.liveness_of(entry, now_ms)));
+    /// State of the agents that may hold a flow, have not been asked for it and are not alive: `Awaited` if any
+    /// of them is awaited, else `Silent`; `None` if there is none.
+    pub fn unavailable_holder_liveness(
+        &self,
+        asked: &AskedAgents,
+        now_ms: u64,
+    ) -> Option<Liveness> {
+        let unasked = self.targets.iter().filter(|(data, entry)| !entry.is_asked(data, asked));
+        let all = unasked.map(|(_, entry)| (entry, self.liveness_of(entry, now_ms)));
         let unavailable = all.filter(|(entry, liveness)| {
             *liveness != Liveness::Alive && entry.may_hold_flows(*liveness)
         });
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
+use rhubarbthread::connection::flow_key::FlowKey;
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::connection::target_instance::TargetInstanceSummary;
@@ -117,6 +118,147 @@
     now_ms
 }
 
+/// The last status of an agent that stops.
+fn stopping(octet: u8, zone: &str) -> TargetStatus {
+    TargetStatus { is_stopping: true, sequence: 2, ..status_of(octet, zone, "vypocet") }
+}
+
+/// The first status of the next process of an agent.
+fn back(octet: u8, zone: &str) -> TargetStatus {
+    TargetStatus { incarnation: 1_000, ..status_of(octet, zone, "vypocet") }
+}
+
+const UPGRADE_AGENTS: u8 = 40;
+const UPGRADE_FLOWS: u16 = 1_000;
+const UPGRADE_ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Time from one agent's stop to that of the next, and from its stop to its return, in milliseconds.
+const RESTART_GAP_MS: u64 = 50;
+const RESTART_MS: u64 = 560;
+
+/// A balancer that has just started, with open flows whose holders it does not know, while each of its agents
+/// restarts. Agents ask their targets, as they have forgotten which flows these hold.
+struct Upgrade {
+    balancer: BalancerState,
+    found: IndexMap<FlowKey, SocketAddrV4>,
+    /// Segments by flow and wrong target.
+    wrong: IndexMap<(FlowKey, SocketAddrV4), u32>,
+    copies_after_transmissions: usize,
+    incarnation: u64,
+}
+
+impl Upgrade {
+    fn new() -> Upgrade {
+        let mut balancer = BalancerState::new("a", address(100, 7720));
+        balancer.knows_all_agents = true;
+        balancer.routing.apply_configuration(configuration(1, "vypocet"), revision(10));
+        for octet in 1..=UPGRADE_AGENTS {
+            balancer.targets.apply_status(status_of(octet, Upgrade::zone(octet), "vypocet"), 0, 0);
+        }
+        Upgrade {
+            balancer,
+            found: IndexMap::new(),
+            wrong: IndexMap::new(),
+            copies_after_transmissions: 0,
+            incarnation: 1_000,
+        }
+    }
+
+    fn zone(octet: u8) -> &'static str {
+        UPGRADE_ZONES[usize::from(octet) % UPGRADE_ZONES.len()]
+    }
+
+    fn holder(port: u16) -> SocketAddrV4 {
+        agent(1 + (port % u16::from(UPGRADE_AGENTS)) as u8)
+    }
+
+    fn step(&mut self, now_ms: u64) {
+        for octet in 1..=UPGRADE_AGENTS {
+            let stops_ms = u64::from(octet) * RESTART_GAP_MS;
+            let zone = Upgrade::zone(octet);
+            let status = status_of(octet, zone, "vypocet");
+            // All agents answer probes, so that none becomes silent.
+            let incarnation =
+                if now_ms >= stops_ms + RESTART_MS { self.incarnation } else { status.incarnation };
+            let is_stopping = (stops_ms..stops_ms + RESTART_MS).contains(&now_ms);
+            let status = TargetStatus { incarnation, is_stopping, sequence: now_ms, ..status };
+            self.balancer.targets.apply_status(status, 0, now_ms);
+        }
+        for port in 1..=UPGRADE_FLOWS {
+            let segment = segment_of(ONCE, port);
+            // Each caller sends from some moment of the first second on, and retransmits each 400 ms.
+            let since_ms = now_ms.checked_sub(u64::from(port) / 10 * 10);
+            if since_ms.is_some_and(|ms| ms % 400 == 0) && !self.found.contains_key(&segment.flow) {
+                let decision = self.balancer.decide(&segment, now_ms);
+                self.carry_out(&segment, decision, now_ms);
+            }
+        }
+        for waiting in self.balancer.take_releasable(usize::MAX, now_ms) {
+            let decision = self.balancer.decide_again(&waiting.segment, now_ms);
+            self.copies_after_transmissions += untracked(&decision);
+            self.carry_out(&waiting.segment, decision, now_ms);
+        }
+    }
+
+    fn carry_out(&mut self, segment: &Segment, decision: ForwardingDecision, now_ms: u64) {
+        let destinations = match decision {
+            ForwardingDecision::Send(destinations) => destinations,
+            ForwardingDecision::SendAndWait(destinations, _) => {
+                self.balancer.waiting_segments.push(*segment, &[], now_ms);
+                destinations
+            }
+            ForwardingDecision::Wait(_) => {
+                self.balancer.waiting_segments.push(*segment, &[], now_ms);
+                return;
+            }
+            ForwardingDecision::Reset(reason) => panic!("an open flow was reset: {reason:?}"),
+            ForwardingDecision::Drop(_) => return,
+        };
+        for (first, header) in destinations {
+            let hops: Vec<SocketAddrV4> =
+                std::iter::once(first).chain(header.chain.iter().copied()).collect();
+            let is_up = |hop: &SocketAddrV4| {
+                self.balancer.targets.liveness(*hop, now_ms) == Some(Liveness::Alive)
+            };
+            if !hops.iter().all(is_up) {
+                continue;
+            }
+            let holder = Upgrade::holder(segment.flow.caller.port());
+            let passed = hops.iter().take_while(|hop| **hop != holder);
+            for hop in passed {
+                *self.wrong.entry((segment.flow, *hop)).or_default() += 1;
+            }
+            if hops.contains(&holder) {
+                self.found.insert(segment.flow, holder);
+                self.balancer.flow_locations.record_holder(segment.flow, holder, true, now_ms);
+                self.balancer.waiting_segments.take_flow(&segment.flow);
+                continue;
+            }
+            let last = hops[hops.len() - 1];
+            let decision = self.balancer.handle_returned_segment(
+                segment,
+                last,
+                header.search_id,
+                false,
+                now_ms,
+            );
+            self.copies_after_transmissions += untracked(&decision);
+            self.carry_out(segment, decision, now_ms);
+        }
+    }
+}
+
+/// Number of copies to unavailable agents.
+fn untracked(decision: &ForwardingDecision) -> usize {
+    match decision {
+        ForwardingDecision::Send(destinations)
+        | ForwardingDecision::SendAndWait(destinations, _) => {
+            destinations.iter().filter(|(_, header)| header.search_id == u32::MAX).count()
+        }
+        _ => 0,
+    }
+}
+
 cases! {
     without_a_configuration_nothing_is_decided: {
         let mut balancer = BalancerState::new("a", address(100, 7720));
@@ -410,6 +552,66 @@
         let decision = balancer.decide(&segment_of(ONCE, 1), 202);
         assert_eq!(chains(decision), [[agent(22)]]);
     };
+    // Each return of an agent sent copies of all queued segments to all agents that were still away.
+    an_agent_that_is_back_causes_no_copies_to_those_that_are_away: {
+        let mut balancer = balancer();
+        for (octet, zone) in [(12, "a"), (22, "b")] {
+            balancer.targets.apply_status(stopping(octet, zone), 0, 1);
+        }
+        let decision = balancer.decide(&segment_of(ONCE, 1), 2);
+        assert!(chains(decision).contains(&vec![agent(22)]), "an unavailable agent gets one copy");
+        return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 202);
+        balancer.targets.apply_status(back(12, "a"), 0, 600);
+        assert_eq!(chains(balancer.decide_again(&segment_of(ONCE, 1), 601)), [[agent(12)]]);
+    };
+    // An agent that had answered was asked again after each of its restarts, and its target got the segment.
+    an_agent_that_has_answered_is_not_asked_again_after_its_restart: {
+        let mut balancer = balancer();
+        balancer.targets.apply_status(stopping(22, "b"), 0, 1);
+        return_from_all_chains(&mut balancer, &segment_of(IDEMPOTENT, 1), 2);
+        balancer.targets.apply_status(stopping(12, "a"), 0, 300);
+        balancer.targets.apply_status(back(12, "a"), 0, 900);
+        let decision = balancer.decide_again(&segment_of(IDEMPOTENT, 1), 901);
+        assert_eq!(decision, ForwardingDecision::Wait(WaitReason::NotAllAnswered));
+        assert!(balancer.waiting_segments.push(segment_of(IDEMPOTENT, 1), &[], 901));
+        assert!(balancer.take_releasable(64, 911).is_empty(), "nobody is left to ask");
+        balancer.targets.apply_status(back(22, "b"), 0, 1_000);
+        assert_eq!(balancer.take_releasable(64, 1_001).len(), 1);
+        let decision = return_from_all_chains(&mut balancer, &segment_of(IDEMPOTENT, 1), 1_001);
+        assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
+    };
+    // A lost flow was kept waiting for as long as any agent restarted, also one that had answered.
+    agents_that_have_answered_and_restart_hold_up_no_reset: {
+        let mut balancer = balancer();
+        balancer.targets.apply_status(stopping(22, "b"), 0, 1);
+        return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 2);
+        balancer.targets.apply_status(stopping(12, "a"), 0, 300);
+        balancer.targets.apply_status(back(22, "b"), 0, 600);
+        let decision = return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 601);
+        assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
+    };
+    // An agent that did not run when the others were asked, and one whose target ended, are asked.
+    a_target_that_started_after_a_search_is_asked: {
+        let mut balancer = balancer();
+        let ended = TargetStatus { phase: TargetPhase::Ended, sequence: 2, ..status_of(22, "b", "vypocet") };
+        balancer.targets.apply_status(ended, 0, 1);
+        balancer.targets.apply_status(stopping(21, "b"), 0, 1);
+        return_from_all_chains(&mut balancer, &segment_of(ONCE, 1), 2);
+        balancer.targets.apply_status(back(22, "b"), 0, 600);
+        assert_eq!(chains(balancer.decide_again(&segment_of(ONCE, 1), 601)), [[agent(22)]]);
+    };
+    // During an upgrade balancers sent 8,432 copies of 1,000 flows that no caller had sent.
+    an_upgrade_of_forty_agents_sends_segments_for_transmissions_alone: {
+        let mut upgrade = Upgrade::new();
+        for now_ms in (10..6_000).step_by(10) {
+            upgrade.step(now_ms);
+        }
+        assert_eq!(upgrade.found.len(), UPGRADE_FLOWS as usize, "flows that were found");
+        let most = upgrade.wrong.values().max().copied().unwrap_or(0);
+        assert_eq!(most, 1, "segments of one flow at one wrong target");
+        let copies = upgrade.copies_after_transmissions;
+        assert_eq!(copies, 0, "copies that no transmission of a caller has caused");
+    };
     a_flow_that_has_just_opened_waits_for_its_target_and_not_for_others: {
         // The agent stops between the opening and the first request; the flow is not confirmed yet.
         let mut balancer = balancer();
