--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -104,7 +104,7 @@
 }
 
 /// State of an agent's target, and admission of new flows at it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct TargetGate {
     instances: TargetInstances,
     timeout_ms: u64,
--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -69,7 +69,7 @@
 }
 
 /// The instances of one target.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct TargetInstances {
     current: Option<Instance>,
     /// Whether the current instance has called that it leaves.
@@ -81,8 +81,8 @@
     /// Whether the current instance was believed at the first report after this process's start.
     is_first: bool,
     unproven: IndexMap<InstanceKey, UnprovenInstance>,
-    /// Reports of the current instance since another one was last dropped from the full list, or a balancer named
-    /// one that drains. `None` if there was none, or all of them have ended.
+    /// Reports of the current instance since another one was last dropped from the full list, or since the last one
+    /// that is known from balancers alone and drains. `None` if there was none, or all of them have ended.
     dropped_outlasted_by: Option<ReportRun>,
     past: VecDeque<PastInstance>,
     /// What balancers know from before this process.
@@ -443,6 +443,11 @@
             unproven.instance.run = ReportRun::default();
         }
         self.dropped_outlasted_by = self.dropped_outlasted_by.map(|_| ReportRun::new(now_ms));
+        let is_known_leaving =
+            self.known.is_some_and(|known| known.is_leaving && known.hash != key.hash());
+        if self.current.is_none() && is_known_leaving {
+            self.dropped_outlasted_by = Some(run);
+        }
         if let Some(past) = self.current.replace(next) {
             let (key, last_sequence) = (past.key(), past.report.sequence);
             let has_ended = outcome == ReportOutcome::NewLife;
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -324,6 +324,17 @@
         }
         assert_eq!(admit(&mut again, "vypocet", 9_771), Ok(()));
     };
+    // Two late reports of an earlier instance took the place of the draining one that balancers had named.
+    draining_that_balancers_remember_holds_while_another_instance_takes_the_place: {
+        let mut before = gate();
+        before.apply_report(draining(report_of("a", 1_000, 2)), 10);
+        let mut gate = restarted(&before, 500);
+        for (sequence, now_ms) in [(8, 510), (9, 1_010)] {
+            gate.apply_report(report_of("late", 500, sequence), now_ms);
+        }
+        assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("late"));
+        assert_refused_as_leaving(&mut gate, 1_010..9_000);
+    };
     // The report of a target that had left, held up over the start of its agent, made it the current one.
     a_report_from_before_a_leave_call_does_not_bring_the_instance_back: {
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(0);
