--- a/tests/failures_target.rs
+++ b/tests/failures_target.rs
@@ -53,7 +53,7 @@
 
 /// The announcement of a target that drains arrives a second time.
 async fn target_announced_again_while_it_leaves() {
-    let (system, _folder) = support::start(SystemPlan::new(29)).await;
+    let (system, _folder) = support::start(SystemPlan::new(31)).await;
     let target = Arc::clone(system.target(0));
     target.leave().await;
     assert!(!target.announce().await, "the agent took a draining target back");
