A running process that a late announcement has replaced takes its place back

Found on reading the change: a process in whose place a late announcement had put another one was answered with 409 for good. One that renews runs, and may announce itself again, unless it drained or the present one drains. Test, failed before by reading alone (the announcement was refused whatever came before): a_running_process_takes_its_place_back_once_it_has_renewed.

--- a/src/process/agent_shared.rs
+++ b/src/process/agent_shared.rs
@@ -382,9 +382,7 @@
             }
             is_known
         };
-        if is_known {
-            self.apply(&Input::Renewed { process: process.to_owned() });
-        }
+        self.apply(&Input::Renewed { process: process.to_owned() });
         is_known
     }
 
--- a/src/process/agent_state.rs
+++ b/src/process/agent_state.rs
@@ -165,6 +165,14 @@
     Kept(KeptAnswer),
 }
 
+/// A process of the target in whose place another one is.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct PastProcess {
+    process: String,
+    /// Whether it drained, which is never taken back.
+    was_leaving: bool,
+}
+
 /// State that the decisions of one agent depend on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentState {
@@ -172,7 +180,7 @@
     openings: Openings,
     tickets: TicketBook,
     process: Option<String>,
-    past_processes: VecDeque<String>,
+    past_processes: VecDeque<PastProcess>,
 }
 
 impl AgentState {
@@ -205,7 +213,7 @@
 
     /// Why an announcement of this process is not applied; `None` if it is.
     pub fn announcement_refusal(&self, process: &str) -> Option<AnnouncementRefusal> {
-        if self.past_processes.iter().any(|past| past == process) {
+        if self.past_processes.iter().any(|past| past.process == process) {
             return Some(AnnouncementRefusal::PastProcess);
         }
         let is_leaving = self.admission.is_leaving() && self.process() == Some(process);
@@ -224,7 +232,10 @@
             Input::Renewed { process } if self.process() == Some(process) => {
                 self.admission.confirm_same_process();
             }
-            Input::Renewed { .. } => self.admission.suspect_new_process(),
+            Input::Renewed { process } => {
+                self.forget_past(process);
+                self.admission.suspect_new_process();
+            }
             Input::CapacityChanged { capacity } => self.admission.capacity_changed(*capacity),
             Input::Leaving => self.admission.target_leaving(),
             Input::Gone => {
@@ -297,7 +308,17 @@
         if self.past_processes.len() >= MAX_PAST_PROCESSES {
             self.past_processes.pop_front();
         }
-        self.past_processes.push_back(process);
+        let was_leaving = self.admission.is_leaving();
+        self.past_processes.push_back(PastProcess { process, was_leaving });
+    }
+
+    /// Lets a past process that renews, and so runs, announce itself again, unless it drained or the present one
+    /// drains.
+    fn forget_past(&mut self, process: &str) {
+        let is_present_leaving = self.process.is_some() && self.admission.is_leaving();
+        if !is_present_leaving {
+            self.past_processes.retain(|past| past.process != process || past.was_leaving);
+        }
     }
 
     fn handle_flow_start(&mut self, key: &OpeningKey) -> Result<(), Refusal> {
--- a/tests/target_replaced.rs
+++ b/tests/target_replaced.rs
@@ -133,6 +133,22 @@
         }
         assert!(!admits(&mut agent));
     };
+    // A running process that a late announcement had replaced was refused for good.
+    a_running_process_takes_its_place_back_once_it_has_renewed: {
+        let mut agent = AgentState::new(1, TICKET_BOUNDS);
+        for input in [announced("running"), announced("late")] {
+            agent.apply(0, &input);
+        }
+        assert_eq!(agent.announcement_refusal("running"), Some(AnnouncementRefusal::PastProcess));
+        agent.apply(0, &Input::Renewed { process: "running".to_owned() });
+        agent.apply(0, &announced("running"));
+        assert_eq!(agent.process(), Some("running"));
+        assert!(admits(&mut agent));
+        agent.apply(0, &Input::Leaving);
+        agent.apply(0, &Input::Renewed { process: "late".to_owned() });
+        agent.apply(0, &announced("late"));
+        assert!(!admits(&mut agent));
+    };
     a_process_that_stopped_renewing_may_announce_itself_again: {
         let mut agent = AgentState::new(1, TICKET_BOUNDS);
         for input in [announced("first"), Input::Gone, announced("first")] {
