A draining that balancers remember counts though an earlier build leaves it out

Found on reading the change: beside a balancer of an earlier build, the same status may be given back twice, first without the draining of another instance; the second was ignored as not newer. Test: draining_counts_though_a_balancer_of_an_earlier_build_leaves_it_out.

--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -281,7 +281,9 @@
     /// Takes over what a balancer knows from before the start of this process. An instance that reported
     /// first, and is not the known one, may be a late report, and has to prove that it runs.
     pub fn note_known(&mut self, known: KnownInstance, now_ms: u64) {
-        let is_superseded = self.known.is_some_and(|older| older.as_of >= known.as_of);
+        // An earlier build relays a status without the draining of another instance.
+        let order = |known: &KnownInstance| (known.as_of, known.is_other_leaving);
+        let is_superseded = self.known.is_some_and(|older| order(&older) >= order(&known));
         if is_superseded || self.is_connection_refused {
             return;
         }
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -335,6 +335,17 @@
         assert_eq!(gate.current_report().map(|report| report.id.as_str()), Some("late"));
         assert_refused_as_leaving(&mut gate, 1_010..9_000);
     };
+    // A balancer of an earlier build gave the same status back without the draining, and came first.
+    draining_counts_though_a_balancer_of_an_earlier_build_leaves_it_out: {
+        let mut before = gate();
+        before.apply_report(draining(report_of("b", 400, 1)), 100);
+        let known = known(&before).expect("the target is known");
+        let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
+        gate.note_known_instance(KnownInstance { is_other_leaving: false, ..known }, 501);
+        gate.note_known_instance(known, 502);
+        gate.apply_report(report_of("a", 1_000, 2), 510);
+        assert_refused_as_leaving(&mut gate, 510..1_000);
+    };
     // The report of a target that had left, held up over the start of its agent, made it the current one.
     a_report_from_before_a_leave_call_does_not_bring_the_instance_back: {
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(0);
