--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -19,6 +19,10 @@
     items: BTreeMap<String, (String, u64)>,
     /// Revision, key and value of each change; no value if the item was removed.
     changes: Vec<(u64, String, Option<String>)>,
+    /// Host that wrote each item last.
+    writers: BTreeMap<String, u8>,
+    /// Hosts that are turned away.
+    turned_away: Vec<u8>,
 }
 
 impl Data {
@@ -42,11 +46,36 @@
 }
 
 impl Store {
-    pub fn start(address: SocketAddrV4) -> std::io::Result<Store> {
-        let store = Store::default();
-        let served = store.clone();
-        http::serve(address, "Store-Era: 1\r\n", move |call| served.answer(call))?;
-        Ok(store)
+    pub fn new() -> Store {
+        Store::default()
+    }
+
+    /// Serves one host at an address of its own.
+    pub fn serve(&self, address: SocketAddrV4, host: u8) -> std::io::Result<()> {
+        let store = self.clone();
+        http::serve(address, "Store-Era: 1\r\n", move |call| store.answer(call, host))
+    }
+
+    /// Turns these hosts away with 503, and takes away the keys that they have written. Returns the keys.
+    #[allow(dead_code)]
+    pub fn turn_away(&self, hosts: &[u8]) -> Vec<String> {
+        let (data, changed) = &*self.data;
+        let mut data = data.lock().unwrap();
+        data.turned_away = hosts.to_vec();
+        let written = data.writers.iter().filter(|(_, host)| hosts.contains(host));
+        let keys: Vec<String> = written.map(|(key, _)| key.clone()).collect();
+        for key in &keys {
+            data.change(key, None);
+            data.writers.remove(key);
+        }
+        changed.notify_all();
+        keys
+    }
+
+    /// Serves all hosts again.
+    #[allow(dead_code)]
+    pub fn serve_all(&self) {
+        self.data.0.lock().unwrap().turned_away.clear();
     }
 
     /// Writes a value as the operator does.
@@ -56,11 +85,14 @@
         changed.notify_all();
     }
 
-    fn answer(&self, call: &Call) -> (u16, String) {
+    fn answer(&self, call: &Call, host: u8) -> (u16, String) {
+        if self.data.0.lock().unwrap().turned_away.contains(&host) {
+            return (503, "{}".to_owned());
+        }
         match (call.method.as_str(), call.path.as_str()) {
             ("GET", "/v1/kv-range") => self.range(call.query("prefix")),
-            ("GET", "/v1/kv-watch") => self.watch(call),
-            ("POST", "/v1/kv-txn") => self.transact(&call.body),
+            ("GET", "/v1/kv-watch") => self.watch(call, host),
+            ("POST", "/v1/kv-txn") => self.transact(&call.body, host),
             _ => (404, "{}".to_owned()),
         }
     }
@@ -74,13 +106,16 @@
         (200, format!(r#"{{"items":[{items}],"has_more":false,"as_of":{as_of}}}"#))
     }
 
-    fn watch(&self, call: &Call) -> (u16, String) {
+    fn watch(&self, call: &Call, host: u8) -> (u16, String) {
         let (data, changed) = &*self.data;
         let after: u64 = call.query("after").parse().unwrap_or(0);
         let wait_ms = call.query("wait_ms").parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut data = data.lock().unwrap();
         loop {
+            if data.turned_away.contains(&host) {
+                return (503, "{}".to_owned());
+            }
             let events: Vec<String> = data
                 .changes
                 .iter()
@@ -101,7 +136,7 @@
         }
     }
 
-    fn transact(&self, body: &str) -> (u16, String) {
+    fn transact(&self, body: &str, host: u8) -> (u16, String) {
         let Some(body) = Json::parse(body) else {
             return (400, "{}".to_owned());
         };
@@ -117,6 +152,7 @@
         }
         for write in body.get("writes").list() {
             data.change(write.get("key").text(), Some(write.get("value").text()));
+            data.writers.insert(write.get("key").text().to_owned(), host);
         }
         for key in body.get("remove").list() {
             if data.items.contains_key(key.text()) {
