--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,24 @@
+#!/bin/sh
+# Runs the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+case_folder=$(cd "$(dirname "$0")" && pwd)
+cd "$case_folder/../.." || exit 2
+folder=$(mktemp -d) || exit 2
+
+# Ends the nodes that this case has started and that still run.
+clean_up() {
+  if [ -f "$folder/pids" ]; then
+    while read -r pid; do
+      grep -qs rhubarbthread-node "/proc/$pid/cmdline" && kill -KILL "$pid"
+    done <"$folder/pids"
+  fi
+  rm -rf "$folder"
+}
+trap clean_up EXIT
+trap 'exit 2' INT TERM
+
+timeout 110 target/review-2/agent-restarted "$case_folder/record.txt" "$folder"
+case $? in
+  0) exit 0 ;;
+  1) exit 1 ;;
+  *) exit 2 ;;
+esac
