--- a/review/standins-2/registrations_lost.rs
+++ b/review/standins-2/registrations_lost.rs
@@ -42,6 +42,9 @@
 const AGENT: u8 = 11;
 const OTHER_AGENTS: [u8; 3] = [12, 13, 14];
 
+/// The configuration; the route's address stands in place of ROUTE.
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-edits","host":"ROUTE","prefix":"/8080/","kind":"non_idempotent","timeout_ms":5000,"slo_ms":300,"priority":1,"service":"edits","attempts":2}],"services":[{"name":"edits","health_path":"/healthz","max_conns":2000,"protocol":"h1","tls":false,"cold_s":2.0,"cold_per_s":0.0}],"limits":{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+
 fn sleep_ms(time_ms: u64) {
     thread::sleep(Duration::from_millis(time_ms));
 }
@@ -69,10 +72,9 @@
     for host in [RESTARTED_BALANCER, OTHER_BALANCER].iter().chain(&agents) {
         store.serve(at(store_host(*host), STORE), *host)?;
     }
-    store.write(
-        "op/config",
-        r#"{"version":7,"routes":[{"name":"r-edits","host":"198.18.0.1","prefix":"/8080/","kind":"non_idempotent","timeout_ms":5000,"slo_ms":300,"priority":1,"service":"edits","attempts":2}],"services":[{"name":"edits","health_path":"/healthz","max_conns":2000,"protocol":"h1","tls":false,"cold_s":2.0,"cold_per_s":0.0}],"limits":{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#,
-    );
+    // An address of the platform, which only the packets' headers name.
+    let route = at(99, 8_080);
+    store.write("op/config", &CONFIG.replace("ROUTE", &route.ip().to_string()));
     nodes.start("balancer", RESTARTED_BALANCER)?;
     nodes.start("balancer", OTHER_BALANCER)?;
     for host in &agents {
@@ -95,7 +97,6 @@
     let balancers =
         [RESTARTED_BALANCER, OTHER_BALANCER].map(|host| (at(host, DATA), at(host, READY))).to_vec();
     let router = Router::start(balancers);
-    let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8_080);
     let client = Client::start(at(101, DATA), route, router.clone(), record.clone())?;
     let deadline = Instant::now() + Duration::from_secs(20);
     let is_confirmed = |server: &Server| server.acknowledged.lock().unwrap().is_some();
