--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Runs the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# With TROUBLE=0 the program does the same without the disruption.
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.." || exit 2
 folder=$(mktemp -d) || exit 2
