--- a/review/standins-2/agent_restarted.rs
+++ b/review/standins-2/agent_restarted.rs
@@ -37,7 +37,7 @@
 use store::Store;
 
 const SERVICE: &str = "edits";
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const HEARTBEAT: Duration = Duration::from_millis(770);
 
 /// The configuration; the route's address stands in place of ROUTE.
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-edits","host":"ROUTE","prefix":"/8080/","kind":"non_idempotent","timeout_ms":5000,"slo_ms":300,"priority":1,"service":"edits","attempts":2}],"services":[{"name":"edits","health_path":"/healthz","max_conns":2000,"protocol":"h1","tls":false,"cold_s":2.0,"cold_per_s":0.0}],"limits":{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
