Searches look in the agents' tables before targets are asked

Cause: a search sent the segment itself along all zones at once, and an agent that was restarted sent it to its target, as it has not seen all flows of it. Each balancer that was restarted searched once for each flow.

Repeated searches of one balancer, searches that time out and copies to agents that are away played no part in it.

Change: in the first round of a search an agent takes the segment only if it tracks the flow. If no agent does and some can't rule the flow out, a second round asks their targets. Both rounds count as one search. A search that has timed out twice asks targets at once, since an agent that is gone hides those behind it. An agent of an earlier build drops the mark that the flow was ruled out by all agents before it, so that the second round follows.

Why it works: the agent that queues a request tracks its flow, so the first round ends there, and no other target gets a segment of the flow.

rhubarbthread_target_queries counts the segments sent to a target to find out whether it holds their flow.

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -57,6 +57,9 @@
     asked_change: u64,
     /// Agents that have been asked once the last search is complete.
     searched: AskedAgents,
+    search_round: SearchRound,
+    /// Whether a chain of the search has passed an agent that would have to ask its target.
+    has_unasked_targets: bool,
     /// Agents that have answered that they do not hold the flow.
     ruled_out: AskedAgents,
     ruled_out_ms: u64,
@@ -94,11 +97,22 @@
     }
 }
 
+/// How agents look for a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SearchRound {
+    /// In their tables. An agent that does not track the flow passes the segment on.
+    Tables,
+    /// An agent that does not track the flow, and has not seen all flows of its target, asks the target.
+    Targets,
+}
+
 /// State of a search after one of its chains has reported that it does not hold the flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SearchState {
     /// Other chains have not reported yet, the flow has been found, or a newer search has started.
     Pending,
+    /// No agent on any chain tracks the flow, and some of their targets have to be asked.
+    TargetsUnasked,
     /// No target on any chain holds the flow, but agents that an earlier search asked have not all answered.
     PartlyNotHeld,
     /// No target of an available agent holds the flow.
@@ -170,11 +184,13 @@
         self.entries.swap_remove(flow);
     }
 
-    /// Starts a search along `chains` chains of the agents that became available by these changes, and returns
-    /// its id. `unasked` are other agents that are known and have not been asked.
+    /// Starts a round of a search along `chains` chains of the agents that became available by these changes, and
+    /// returns its id. `unasked` are other agents that are known and have not been asked. The round at the targets
+    /// that follows one in the tables counts as the same search.
     pub fn begin_search(
         &mut self,
         flow: FlowKey,
+        round: SearchRound,
         chains: usize,
         changes: &RangeInclusive<u64>,
         unasked: Vec<SocketAddrV4>,
@@ -186,7 +202,12 @@
             entry.search_window_start_ms = now_ms;
             entry.search_count = 0;
         }
-        entry.search_count += 1;
+        let is_next_round = entry.pending_chains == 0 && entry.has_unasked_targets;
+        if round == SearchRound::Tables || !is_next_round {
+            entry.search_count += 1;
+        }
+        entry.search_round = round;
+        entry.has_unasked_targets = false;
         entry.search_id = search_id;
         entry.search_started_ms = now_ms;
         entry.asked_change = changes.start() - 1;
@@ -201,6 +222,11 @@
         ruled_out.cloned().unwrap_or_default()
     }
 
+    /// Latest availability change whose agents the last search for the flow leaves out.
+    pub fn asked_change(&self, flow: &FlowKey) -> u64 {
+        self.entries.get(flow).map_or(0, |entry| entry.asked_change)
+    }
+
     /// Notes that no agent that became available up to this change has to be asked.
     pub fn note_searched_up_to(&mut self, flow: &FlowKey, change: u64) {
         if let Some(entry) = self.entries.get_mut(flow) {
@@ -319,8 +345,15 @@
         })
     }
 
-    /// Records that no target on one chain of a search holds the flow.
-    pub fn note_not_held(&mut self, flow: &FlowKey, search_id: u32, now_ms: u64) -> SearchState {
+    /// Records that no target on one chain of a search holds the flow, or if not `is_ruled_out`, that in the round in
+    /// the tables no agent on it tracks the flow.
+    pub fn note_not_held(
+        &mut self,
+        flow: &FlowKey,
+        search_id: u32,
+        is_ruled_out: bool,
+        now_ms: u64,
+    ) -> SearchState {
         let Some(entry) = self.entries.get_mut(flow) else {
             return SearchState::Pending;
         };
@@ -328,9 +361,13 @@
             return SearchState::Pending;
         }
         entry.pending_chains -= 1;
+        entry.has_unasked_targets |= entry.search_round == SearchRound::Tables && !is_ruled_out;
         if entry.pending_chains > 0 {
             return SearchState::Pending;
         }
+        if entry.has_unasked_targets {
+            return SearchState::TargetsUnasked;
+        }
         if entry.asked_change > entry.ruled_out_change(now_ms) {
             return SearchState::PartlyNotHeld;
         }
@@ -368,6 +405,8 @@
             search_started_ms: now_ms,
             asked_change: 0,
             searched: AskedAgents::default(),
+            search_round: SearchRound::Tables,
+            has_unasked_targets: false,
             ruled_out: AskedAgents::default(),
             ruled_out_ms: 0,
             pending_chains: 0,
--- a/src/process/passthrough/agent.rs
+++ b/src/process/passthrough/agent.rs
@@ -237,6 +237,7 @@
         metrics.error_answers.set(to_gauge(state.health.error_count()));
         metrics.service_time_us.set(i64::from(state.pace.service_time_us()));
         metrics.opening_limit.set(i64::from(state.pace.opening_limit()));
+        metrics.target_queries.set(to_gauge(state.target_queries()));
     }
 
     /// Counts and logs that the target has become failing or has recovered.
--- a/src/process/passthrough/agent_forwarding.rs
+++ b/src/process/passthrough/agent_forwarding.rs
@@ -36,7 +36,7 @@
     }
 
     /// Counts and logs why a segment goes to `next`, or back to its balancer, and not to the target. Flows that
-    /// the agent has never seen are only counted: each search passes many such agents.
+    /// the agent does not track are only counted: each search passes many such agents.
     fn record_return(&self, cause: ReturnCause, flow: &FlowKey, next: Option<SocketAddrV4>) {
         let (event, counter, reason) = match cause {
             ReturnCause::Refused(refusal) => {
@@ -47,7 +47,7 @@
             }
         };
         count(counter, reason);
-        if cause == ReturnCause::NotHeld(NotHeldReason::UnknownFlow) {
+        if let ReturnCause::NotHeld(NotHeldReason::UnknownFlow | NotHeldReason::Untracked) = cause {
             return;
         }
         let next = next.map_or_else(|| "none".to_owned(), |next| next.to_string());
@@ -165,7 +165,13 @@
                 segment_header::encode(&header, datagram, out);
                 send(&self.data_socket, out, next).await;
             }
-            Action::ReturnToBalancer { balancer, search_id, saw_full_target, cause } => {
+            Action::ReturnToBalancer {
+                balancer,
+                search_id,
+                saw_full_target,
+                is_ruled_out,
+                cause,
+            } => {
                 self.record_return(cause, &flow, None);
                 count(&self.metrics.segments, "given-back");
                 self.platform.segment_codec.prepare(datagram, 0);
@@ -174,6 +180,7 @@
                     search_id,
                     segment: datagram.to_vec(),
                     saw_full_target,
+                    is_ruled_out,
                 });
                 send(&self.control_socket, &returned.encode(), balancer).await;
             }
--- a/src/process/passthrough/agent_state.rs
+++ b/src/process/passthrough/agent_state.rs
@@ -67,8 +67,8 @@
 const SLOT_TIMEOUT_SERVICE_TIMES: u64 = 10;
 
 /// Time after which a queued request is preferred whose flow a balancer searches for, in milliseconds. The segments of
-/// a search reach other targets, and the platform allows 2 s until one of the flow has to reach its own. The rest is
-/// for the starts of other preferred requests.
+/// a search reach other targets where agents of earlier builds ask them, and the platform allows 2 s until one of the
+/// flow has to reach its own. The rest is for the starts of other preferred requests.
 const SEARCHED_WAIT_MS: u64 = 1_000;
 
 /// What the agent does with a segment.
@@ -109,6 +109,8 @@
         search_id: u32,
         /// Whether a target of the chain was busy or full.
         saw_full_target: bool,
+        /// Whether each agent of the chain knows that its target does not hold the flow.
+        is_ruled_out: bool,
         /// Why this target does not take it.
         cause: ReturnCause,
     },
@@ -139,16 +141,19 @@
     TargetEnded,
     /// The target was not seen for so long that its flows count as lost.
     TargetLost,
+    /// The agent does not track the flow, and was not to ask the target.
+    Untracked,
 }
 
 impl NotHeldReason {
     /// All reasons, for metrics and docs.
-    pub const ALL: [NotHeldReason; 5] = [
+    pub const ALL: [NotHeldReason; 6] = [
         NotHeldReason::Bounced,
         NotHeldReason::UnknownFlow,
         NotHeldReason::OpenElsewhere,
         NotHeldReason::TargetEnded,
         NotHeldReason::TargetLost,
+        NotHeldReason::Untracked,
     ];
 
     /// Label in metrics and logs.
@@ -159,6 +164,7 @@
             NotHeldReason::OpenElsewhere => "open-elsewhere",
             NotHeldReason::TargetEnded => "target-ended",
             NotHeldReason::TargetLost => "target-lost",
+            NotHeldReason::Untracked => "untracked",
         }
     }
 }
@@ -252,6 +258,8 @@
     running_since_ms: u64,
     /// Time of the last input.
     last_input_ms: u64,
+    /// Segments sent to the target to find out whether it holds their flows.
+    target_queries: u64,
 }
 
 impl AgentState {
@@ -275,6 +283,7 @@
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             running_since_ms: now_ms,
             last_input_ms: now_ms,
+            target_queries: 0,
         }
     }
 
@@ -387,7 +396,7 @@
     pub fn handle_node_segment(
         &mut self,
         segment: &Segment,
-        header: SegmentHeader,
+        mut header: SegmentHeader,
         now_ms: u64,
     ) -> Action {
         if segment.opens {
@@ -408,6 +417,13 @@
         if is_flow_absent {
             return forward_or_return(header, ReturnCause::NotHeld(NotHeldReason::UnknownFlow));
         }
+        if flow_state == FlowState::Unknown {
+            if header.is_tables_only {
+                header.is_ruled_out = false;
+                return forward_or_return(header, ReturnCause::NotHeld(NotHeldReason::Untracked));
+            }
+            self.target_queries += 1;
+        }
         let is_unconfirmed =
             flow_state != FlowState::Unknown && !self.flows.is_confirmed(&segment.flow);
         // The balancer wants to know the holder if it searched for the flow, or the flow is unconfirmed.
@@ -467,6 +483,12 @@
         self.queue.len()
     }
 
+    /// Number of segments sent to the target to find out whether it holds their flows. Segments of flows that it does
+    /// not hold reach it only so.
+    pub fn target_queries(&self) -> u64 {
+        self.target_queries
+    }
+
     /// Bytes that the queued requests take.
     pub fn queued_bytes(&self) -> usize {
         self.queue.bytes()
@@ -911,6 +933,7 @@
             balancer,
             search_id: header.search_id,
             saw_full_target: header.saw_full_target,
+            is_ruled_out: header.is_ruled_out,
             cause,
         },
         None => Action::Drop,
--- a/src/process/passthrough/balancer_forwarding.rs
+++ b/src/process/passthrough/balancer_forwarding.rs
@@ -54,15 +54,7 @@
         log_event!(Event::SegmentDropped, "reason=malformed bytes={}", datagram.len());
         return;
     };
-    let (agent, search_id) = (returned.agent, returned.search_id);
-    let saw_full_target = returned.saw_full_target;
-    let decision = shared.state().handle_returned_segment(
-        &segment,
-        agent,
-        search_id,
-        saw_full_target,
-        shared.now_ms(),
-    );
+    let decision = shared.state().handle_returned_segment(&segment, &returned, shared.now_ms());
     apply_decision(shared, decision, &segment, datagram, out).await;
 }
 
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -9,6 +9,7 @@
 use crate::connection::flow_key::FlowKey;
 use crate::connection::flow_locations::AskedAgents;
 use crate::connection::flow_locations::FlowLocations;
+use crate::connection::flow_locations::SearchRound;
 use crate::connection::flow_locations::SearchState;
 use crate::connection::offering;
 use crate::connection::request_class::RequestClass;
@@ -19,6 +20,7 @@
 use crate::process::passthrough::explanation::ClassView;
 use crate::process::passthrough::explanation::Explanation;
 use crate::process::passthrough::explanation::ServiceView;
+use crate::process::passthrough::message::ReturnedSegment;
 use crate::process::passthrough::segment_header::SegmentHeader;
 use crate::version::hash::hash64;
 use crate::version::hash::hash64_with_seed;
@@ -324,16 +326,15 @@
     }
 
     /// Decides what to do with a segment that an agent returned because no target of its chain holds
-    /// the flow.
+    /// the flow, or no agent of its chain tracks it.
     pub fn handle_returned_segment(
         &mut self,
         segment: &Segment,
-        agent: SocketAddrV4,
-        search_id: u32,
-        saw_full_target: bool,
+        returned: &ReturnedSegment,
         now_ms: u64,
     ) -> ForwardingDecision {
         let flow = segment.flow;
+        let &ReturnedSegment { agent, search_id, saw_full_target, is_ruled_out, .. } = returned;
         if segment.opens {
             return self.handle_refused_opening(segment, search_id, saw_full_target, now_ms);
         }
@@ -343,14 +344,18 @@
             }
             return self.start_search(segment, Origin::Balancer, now_ms);
         }
-        let search_state = self.flow_locations.note_not_held(&flow, search_id, now_ms);
+        let search_state =
+            self.flow_locations.note_not_held(&flow, search_id, is_ruled_out, now_ms);
         match search_state {
             SearchState::Pending => return ForwardingDecision::Drop(DropReason::Searching),
+            SearchState::TargetsUnasked if self.reachable_holder(&flow, now_ms).is_none() => {
+                return self.ask_targets(segment, now_ms);
+            }
             _ if segment.resets => return ForwardingDecision::Drop(DropReason::NothingToReset),
             SearchState::PartlyNotHeld => {
                 return ForwardingDecision::Wait(WaitReason::NotAllAnswered);
             }
-            SearchState::NotHeld => {}
+            SearchState::TargetsUnasked | SearchState::NotHeld => {}
         }
         if self.reachable_holder(&flow, now_ms).is_some() {
             return self.decide_on_established(segment, Origin::Balancer, now_ms);
@@ -809,6 +814,10 @@
     /// Sends the segment to the agents that may hold its flow and have not answered that they do not. It is
     /// queued if there are none, or a search is in progress. Unavailable agents get a copy of what a caller sends,
     /// but none when another agent has become available: during an upgrade that happens many times a second.
+    ///
+    /// A search first looks in the agents' tables: while a request is queued at the flow's own agent, the platform
+    /// considers the flow lost if segments of it reach other targets alone. Once searches have timed out repeatedly,
+    /// targets are asked at once, as an agent that may never answer hides those behind it.
     fn start_search(
         &mut self,
         segment: &Segment,
@@ -819,20 +828,25 @@
         if self.flow_locations.is_search_pending(&flow, now_ms) {
             return ForwardingDecision::Wait(WaitReason::SearchInProgress);
         }
+        let may_ask_again = self.flow_locations.may_ask_again(&flow, now_ms);
+        let mut round = SearchRound::Tables;
         if self.flow_locations.has_search_timed_out(&flow, now_ms) {
             self.targets.recheck_all(now_ms);
+            if !may_ask_again {
+                round = SearchRound::Targets;
+            }
         }
         self.targets.note_available_agents(now_ms);
         let ruled_out = self.flow_locations.ruled_out(&flow, now_ms);
         let mut search = self.plan_search(&flow, &ruled_out, 0, now_ms);
-        if search.has_awaited && !self.flow_locations.may_ask_again(&flow, now_ms) {
+        if search.has_awaited && !may_ask_again {
             let asked_change = self.flow_locations.search_change(&flow);
             search = self.plan_search(&flow, &ruled_out, asked_change, now_ms);
         }
         // A failed agent cuts a chain short. Every second search runs in reverse, so that it reaches the
         // targets behind that agent.
         if self.flow_locations.search_count(&flow) % 2 == 1 {
-            search.chains.iter_mut().for_each(|chain| chain.reverse());
+            search.reverse_chains();
         }
         let copies = match origin {
             Origin::Caller => self.copies_to_unavailable(&search.unavailable),
@@ -842,17 +856,58 @@
             self.flow_locations.note_searched_up_to(&flow, *search.changes.end());
             return self.decide_without_chains(&flow, copies, ruled_out.change, now_ms);
         }
-        let (chains, unasked) = (search.chains.len(), search.unasked);
-        let search_id =
-            self.flow_locations.begin_search(flow, chains, &search.changes, unasked, now_ms);
+        self.send_search(segment, round, search, copies, now_ms)
+    }
+
+    /// Continues a search in which no agent tracks the flow: those that have not seen all flows of their targets ask
+    /// them.
+    fn ask_targets(&mut self, segment: &Segment, now_ms: u64) -> ForwardingDecision {
+        let flow = segment.flow;
+        self.targets.note_available_agents(now_ms);
+        let ruled_out = self.flow_locations.ruled_out(&flow, now_ms);
+        let asked_change = self.flow_locations.asked_change(&flow);
+        let mut search = self.plan_search(&flow, &ruled_out, asked_change, now_ms);
+        // In the order of the round before, which is counted already.
+        let earlier_searches = self.flow_locations.search_count(&flow).saturating_sub(1);
+        if earlier_searches % 2 == 1 {
+            search.reverse_chains();
+        }
+        if search.chains.is_empty() {
+            return self.decide_without_chains(&flow, Vec::new(), ruled_out.change, now_ms);
+        }
+        self.send_search(segment, SearchRound::Targets, search, Vec::new(), now_ms)
+    }
+
+    /// Sends the segment along the chains of a search, in addition to `copies`.
+    fn send_search(
+        &mut self,
+        segment: &Segment,
+        round: SearchRound,
+        search: Search,
+        copies: Vec<(SocketAddrV4, SegmentHeader)>,
+        now_ms: u64,
+    ) -> ForwardingDecision {
+        let Search { chains, unasked, changes, .. } = search;
+        let search_id = self.flow_locations.begin_search(
+            segment.flow,
+            round,
+            chains.len(),
+            &changes,
+            unasked,
+            now_ms,
+        );
+        let header = SegmentHeader {
+            report_to: Some(self.control_address),
+            search_id,
+            class: self.request_class(segment),
+            is_tables_only: round == SearchRound::Tables,
+            is_ruled_out: true,
+            ..SegmentHeader::default()
+        };
         let mut destinations = copies;
-        let class = self.request_class(segment);
-        for mut chain in search.chains {
+        for mut chain in chains {
             let first = chain.remove(0);
-            let report_to = Some(self.control_address);
-            let header =
-                SegmentHeader { chain, report_to, search_id, class, ..SegmentHeader::default() };
-            destinations.push((first, header));
+            destinations.push((first, SegmentHeader { chain, ..header.clone() }));
         }
         ForwardingDecision::Send(destinations)
     }
--- a/src/process/passthrough/message.rs
+++ b/src/process/passthrough/message.rs
@@ -91,6 +91,9 @@
     pub segment: Vec<u8>,
     /// Whether a target of the chain was busy or full, so that the balancer may offer an opening again.
     pub saw_full_target: bool,
+    /// Whether each agent of the chain knows that its target does not hold the flow. Agents of earlier builds do not
+    /// report it.
+    pub is_ruled_out: bool,
 }
 
 /// Payload of a control datagram.
@@ -150,6 +153,7 @@
                 search: returned.search_id,
                 segment: returned.segment.clone(),
                 met_full: returned.saw_full_target,
+                ruled_out: returned.is_ruled_out,
             }),
             NodeMessage::Balancer(gossip) => Kind::Balancer(gossip_to_wire(gossip)),
         };
@@ -196,6 +200,7 @@
                 search_id: returned.search,
                 segment: returned.segment,
                 saw_full_target: returned.met_full,
+                is_ruled_out: returned.ruled_out,
             }),
             Kind::Balancer(gossip) => NodeMessage::Balancer(gossip_from_wire(gossip)?),
         })
--- a/src/process/passthrough/metrics.rs
+++ b/src/process/passthrough/metrics.rs
@@ -123,6 +123,8 @@
     pub target_recoveries: ReasonCounter,
     /// Answers of the current target instance that an agent counted as errors.
     pub error_answers: Gauge,
+    /// Segments sent to the target to find out whether it holds their flows.
+    pub target_queries: Gauge,
     /// Openings that a balancer has offered to a failing target as a trial.
     pub trial_offers: Gauge,
     /// Answers to requests of a class, by how they count for the estimated service time.
@@ -170,6 +172,7 @@
             target_failures: Family::default(),
             target_recoveries: Family::default(),
             error_answers: Gauge::default(),
+            target_queries: Gauge::default(),
             trial_offers: Gauge::default(),
             answers_judged: Family::default(),
             service_time_us: Gauge::default(),
@@ -261,6 +264,11 @@
             "Answers of the target instance that count as errors",
             metrics.error_answers.clone(),
         );
+        registry.register(
+            "target_queries",
+            "Segments sent to the target to find out whether it holds their flows",
+            metrics.target_queries.clone(),
+        );
         registry.register(
             "trial_offers",
             "Openings offered to failing targets as a trial",
--- a/src/process/passthrough/segment_header.rs
+++ b/src/process/passthrough/segment_header.rs
@@ -50,6 +50,10 @@
     pub ignores_health: bool,
     /// Of the agents that have passed the opening on, the one that would answer its request soonest.
     pub fallback: Option<Fallback>,
+    /// Whether an agent that does not track the flow passes the segment on without asking its target.
+    pub is_tables_only: bool,
+    /// Whether each agent that has passed the segment on knows that its target does not hold the flow.
+    pub is_ruled_out: bool,
 }
 
 /// Agent that gets an opening after the last one of the chain, if that one would answer the request later.
@@ -101,6 +105,8 @@
             agent: pack_address(fallback.agent),
             wait_ms: to_u32(fallback.wait_ms),
         }),
+        tables_only: header.is_tables_only,
+        ruled_out: header.is_ruled_out,
     };
     let length = u16::try_from(encoded.encoded_len()).unwrap_or(u16::MAX);
     out.clear();
@@ -152,6 +158,8 @@
         origin_zone: encoded.origin_zone,
         ignores_health: encoded.ignores_health,
         fallback,
+        is_tables_only: encoded.tables_only,
+        is_ruled_out: encoded.ruled_out,
     };
     Ok((header, PREFIX_BYTES + length))
 }
--- a/src/version/target_table/search.rs
+++ b/src/version/target_table/search.rs
@@ -45,6 +45,13 @@
     pub changes: RangeInclusive<u64>,
 }
 
+impl Search {
+    /// Reverses each chain.
+    pub fn reverse_chains(&mut self) {
+        self.chains.iter_mut().for_each(|chain| chain.reverse());
+    }
+}
+
 /// Why a target may not take a new flow of a service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExclusionReason {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -311,6 +311,13 @@
     /// that do not send it.
     #[prost(message, optional, tag = "13")]
     pub fallback: ::core::option::Option<OpeningFallback>,
+    /// Whether an agent that does not track the flow passes the segment on without asking its target. An agent of a
+    /// build that does not know this field asks its target, and drops both this field and the next one.
+    #[prost(bool, tag = "14")]
+    pub tables_only: bool,
+    /// Whether each agent that has passed the segment on knows that its target does not hold the flow.
+    #[prost(bool, tag = "15")]
+    pub ruled_out: bool,
 }
 /// Agent that takes an opening if no agent of its chain does, or the last one would start its request later.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -475,6 +482,10 @@
     /// Whether a target on the way was full, so that the opening may be offered again.
     #[prost(bool, tag = "4")]
     pub met_full: bool,
+    /// Whether each agent on the way knows that its target does not hold the flow; not set by builds that do not know
+    /// `tables_only`.
+    #[prost(bool, tag = "5")]
+    pub ruled_out: bool,
 }
 /// From balancer to balancer.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/capacity_across_hosts.rs
+++ b/tests/capacity_across_hosts.rs
@@ -36,6 +36,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::returned;
 use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 use crate::support::passthrough::status_of;
@@ -350,7 +351,11 @@
     let decision = balancer.decide_again(&opening, age_ms);
     let ForwardingDecision::Send(offer) = decision else { panic!("{decision:?}") };
     let (first, header) = &offer[0];
-    balancer.handle_returned_segment(&opening, *first, header.search_id, true, age_ms + 1)
+    balancer.handle_returned_segment(
+        &opening,
+        &returned(*first, header.search_id, true),
+        age_ms + 1,
+    )
 }
 
 /// Number of 600 openings of a route that a fresh copy of the balancer offers to each agent first.
@@ -544,7 +549,7 @@
             assert_eq!(first_agent(&decision), octet);
             let ForwardingDecision::Send(offer) = decision else { panic!() };
             let search_id = offer[0].1.search_id;
-            balancer.handle_returned_segment(&opening_of(URGENT, 1), agent(octet), search_id, true, now_ms + 5);
+            balancer.handle_returned_segment(&opening_of(URGENT, 1), &returned(agent(octet), search_id, true), now_ms + 5);
             let full = TargetStatus { sequence: sequence + 1, ..loaded(octet, "a", 4, 0) };
             balancer.targets.apply_status(full, 0, now_ms + 6);
         }
@@ -666,8 +671,8 @@
             let opening = opening_of(URGENT, port);
             balancer.decide(&opening, now_ms);
             let ForwardingDecision::Send(offer) = balancer.decide_again(&opening, now_ms + 250) else { panic!() };
-            balancer.handle_returned_segment(&opening, agent(11), 1, true, now_ms + 250);
-            balancer.handle_returned_segment(&opening, agent(11), offer[0].1.search_id, true, now_ms + 255)
+            balancer.handle_returned_segment(&opening, &returned(agent(11), 1, true), now_ms + 250);
+            balancer.handle_returned_segment(&opening, &returned(agent(11), offer[0].1.search_id, true), now_ms + 255)
         };
         assert_eq!(refuse(hopeless(21, "b"), 1, 1), ForwardingDecision::Reset(ResetReason::Overload));
         let free = loaded(21, "b", 4, 9);
@@ -690,7 +695,7 @@
         balancer.decide(&opening_of(URGENT, 1), 1);
         let copy = Segment { retransmission: 2, ..opening_of(URGENT, 1) };
         let ForwardingDecision::Send(offer) = balancer.decide(&copy, 601) else { panic!() };
-        let decision = balancer.handle_returned_segment(&copy, agent(12), offer[0].1.search_id, true, 605);
+        let decision = balancer.handle_returned_segment(&copy, &returned(agent(12), offer[0].1.search_id, true), 605);
         assert_eq!(decision, ForwardingDecision::Drop(DropReason::LateRefusal));
     };
     openings_whose_only_target_is_in_a_zone_that_is_out_keep_no_others_waiting: {
@@ -746,7 +751,7 @@
                 let ForwardingDecision::Send(offer) = &decision else { panic!("{decision:?}") };
                 let (first, header) = &offer[0];
                 assert_eq!(header.chain.len() + 1, statuses.len());
-                balancer.handle_returned_segment(&opening, *first, header.search_id, true, 2);
+                balancer.handle_returned_segment(&opening, &returned(*first, header.search_id, true), 2);
             }
         }
     };
@@ -764,7 +769,7 @@
             let (first, header) = &offer[0];
             assert_eq!(header.chain.last(), Some(&agent(21)), "{now_ms}");
             assert_ne!(*first, agent(21));
-            balancer.handle_returned_segment(&opening, agent(21), header.search_id, true, now_ms + 5);
+            balancer.handle_returned_segment(&opening, &returned(agent(21), header.search_id, true), now_ms + 5);
         }
     };
     a_target_that_fails_again_gets_its_first_trial_after_an_interval: {
@@ -858,7 +863,7 @@
             let opening = opening_of(route, 1);
             let ForwardingDecision::Send(offer) = balancer.decide(&opening, 1) else { panic!() };
             let (first, header) = &offer[0];
-            balancer.handle_returned_segment(&opening, *first, header.search_id, false, 5)
+            balancer.handle_returned_segment(&opening, &returned(*first, header.search_id, false), 5)
         };
         assert_eq!(refuse(9, URGENT), ForwardingDecision::Wait(WaitReason::AllFull));
         for (target_count, route) in [(8, URGENT), (9, UNCLASSED)] {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -29,6 +29,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::returned;
 use crate::support::passthrough::revision;
 use crate::support::passthrough::status_of;
 use crate::support::thread_time;
@@ -129,7 +130,7 @@
                             assert_eq!(chain, ranked.take(8).collect::<Vec<_>>());
                         }
                         if random.random() {
-                            balancer.handle_returned_segment(&opening, chain[0], header.search_id, true, NOW_MS);
+                            balancer.handle_returned_segment(&opening, &returned(chain[0], header.search_id, true), NOW_MS);
                         } else if random.random_ratio(1, 4) {
                             balancer.flow_locations.record_holder(opening.flow, chain[chain.len() - 1], false, NOW_MS);
                         }
--- a/tests/models_reconnect.rs
+++ b/tests/models_reconnect.rs
@@ -29,6 +29,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::returned;
 use crate::support::passthrough::revision;
 use crate::support::passthrough::status_of;
 
@@ -241,9 +242,7 @@
             Event::OpeningReturned { segment, agent, search_id, saw_full_target } => {
                 let decision = self.balancer.handle_returned_segment(
                     &segment,
-                    agent,
-                    search_id,
-                    saw_full_target,
+                    &returned(agent, search_id, saw_full_target),
                     now_ms,
                 );
                 self.apply_decision(decision, segment);
--- a/tests/passthrough_balancer.rs
+++ b/tests/passthrough_balancer.rs
@@ -30,6 +30,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::returned;
 use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 use crate::support::passthrough::status_of;
@@ -102,7 +103,8 @@
     let searches = searches(&decision);
     let mut last_decision = decision;
     for (agent, search_id) in searches.into_iter().filter(|(_, search_id)| *search_id != u32::MAX) {
-        last_decision = balancer.handle_returned_segment(segment, agent, search_id, false, now_ms);
+        last_decision =
+            balancer.handle_returned_segment(segment, &returned(agent, search_id, false), now_ms);
     }
     last_decision
 }
@@ -240,9 +242,7 @@
             let last = hops[hops.len() - 1];
             let decision = self.balancer.handle_returned_segment(
                 segment,
-                last,
-                header.search_id,
-                false,
+                &returned(last, header.search_id, false),
                 now_ms,
             );
             self.copies_after_transmissions += untracked(&decision);
@@ -352,7 +352,7 @@
     an_opening_that_all_refuse_is_refused_at_once: {
         let mut balancer = balancer();
         let (last, search_id) = offer(&mut balancer, 1);
-        let decision = balancer.handle_returned_segment(&opening_of(IDEMPOTENT, 1), last, search_id, false, 20);
+        let decision = balancer.handle_returned_segment(&opening_of(IDEMPOTENT, 1), &returned(last, search_id, false), 20);
         assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NoTarget));
     };
     a_late_refusal_ends_no_flow_that_a_copy_has_opened: {
@@ -360,14 +360,14 @@
         // retransmission.
         let mut balancer = balancer();
         let (last, search_id) = offer(&mut balancer, 1);
-        let decision = balancer.handle_returned_segment(&opening_of(IDEMPOTENT, 1), last, search_id, false, 213);
+        let decision = balancer.handle_returned_segment(&opening_of(IDEMPOTENT, 1), &returned(last, search_id, false), 213);
         assert_eq!(decision, ForwardingDecision::Drop(DropReason::LateRefusal));
     };
     a_refusal_of_an_earlier_copy_ends_no_flow: {
         let mut balancer = balancer();
         let (last, search_id) = offer(&mut balancer, 1);
         balancer.decide(&Segment { retransmission: 1, ..opening_of(IDEMPOTENT, 1) }, 100);
-        let decision = balancer.handle_returned_segment(&opening_of(IDEMPOTENT, 1), last, search_id, false, 101);
+        let decision = balancer.handle_returned_segment(&opening_of(IDEMPOTENT, 1), &returned(last, search_id, false), 101);
         assert_eq!(decision, ForwardingDecision::Drop(DropReason::LateRefusal));
     };
     nobody_who_takes_flows_is_a_refusal_at_once: {
@@ -481,7 +481,7 @@
         let searches = searches(&balancer.decide(&segment, 1));
         balancer.targets.apply_status(status_of(23, "b", "vypocet"), 0, 2);
         let mut returned = searches.into_iter().map(|(agent, search_id)| {
-            balancer.handle_returned_segment(&segment, agent, search_id, false, 3)
+            balancer.handle_returned_segment(&segment, &returned(agent, search_id, false), 3)
         });
         assert_eq!(returned.next(), Some(ForwardingDecision::Drop(DropReason::Searching)));
         let chains = chains(returned.next().expect("there are two chains"));
@@ -501,7 +501,7 @@
         }
         let tracked = searches.into_iter().filter(|(_, search_id)| *search_id != u32::MAX);
         let decision = tracked
-            .map(|(agent, search_id)| balancer.handle_returned_segment(&segment, agent, search_id, false, 3))
+            .map(|(agent, search_id)| balancer.handle_returned_segment(&segment, &returned(agent, search_id, false), 3))
             .last()
             .expect("there are chains");
         let asked = chains(decision).concat();
@@ -519,10 +519,10 @@
         let mut balancer = balancer();
         let decision = balancer.decide(&segment_of(ONCE, 1), 1);
         let (agent, search_id) = searches(&decision)[0];
-        let decision = balancer.handle_returned_segment(&segment_of(ONCE, 1), agent, search_id, false, 2);
+        let decision = balancer.handle_returned_segment(&segment_of(ONCE, 1), &returned(agent, search_id, false), 2);
         assert_eq!(decision, ForwardingDecision::Drop(DropReason::Searching));
         // A second answer from the same chain, under another search id, is no further evidence.
-        let decision = balancer.handle_returned_segment(&segment_of(ONCE, 1), agent, search_id + 7, false, 3);
+        let decision = balancer.handle_returned_segment(&segment_of(ONCE, 1), &returned(agent, search_id + 7, false), 3);
         assert_eq!(decision, ForwardingDecision::Drop(DropReason::Searching));
     };
     an_agent_that_stops_for_a_moment_proves_nothing: {
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -126,6 +126,7 @@
         balancer: address(9, 7720),
         search_id: search,
         saw_full_target: false,
+        is_ruled_out: false,
         cause: ReturnCause::NotHeld(reason),
     }
 }
--- a/tests/passthrough_waiting.rs
+++ b/tests/passthrough_waiting.rs
@@ -23,6 +23,7 @@
 use crate::support::passthrough::agent;
 use crate::support::passthrough::configuration_of;
 use crate::support::passthrough::opening_of;
+use crate::support::passthrough::returned;
 use crate::support::passthrough::revision;
 use crate::support::passthrough::segment_of;
 use crate::support::passthrough::status_of;
@@ -102,7 +103,7 @@
     (agent, search_id): (SocketAddrV4, u32),
     now_ms: u64,
 ) -> ForwardingDecision {
-    balancer.handle_returned_segment(&opening(1), agent, search_id, true, now_ms)
+    balancer.handle_returned_segment(&opening(1), &returned(agent, search_id, true), now_ms)
 }
 
 cases! {
@@ -213,7 +214,7 @@
         let mut balancer = balancer(&[1], TargetPhase::Serving);
         let (last, search_id) = last_agent_and_id(&balancer.decide(&segment(1), 1));
         enqueue(&mut balancer, &Segment { sequence: 200, ..segment(1) }, 2);
-        let decision = balancer.handle_returned_segment(&segment(1), last, search_id, false, 3);
+        let decision = balancer.handle_returned_segment(&segment(1), &returned(last, search_id, false), 3);
         assert_eq!(decision, ForwardingDecision::Reset(ResetReason::NotHeld));
         assert!(balancer.waiting_segments.is_empty());
     };
@@ -223,7 +224,7 @@
         let mut balancer = balancer(&[1], TargetPhase::Serving);
         balancer.knows_all_agents = false;
         let (last, search_id) = last_agent_and_id(&balancer.decide(&segment(1), 1));
-        let decision = balancer.handle_returned_segment(&segment(1), last, search_id, false, 3);
+        let decision = balancer.handle_returned_segment(&segment(1), &returned(last, search_id, false), 3);
         assert_eq!(decision, ForwardingDecision::Wait(WaitReason::NotAllAnswered));
         enqueue(&mut balancer, &segment(1), 3);
         assert_eq!(take_releasable(&mut balancer, 200), []);
--- a/tests/support/passthrough.rs
+++ b/tests/support/passthrough.rs
@@ -8,6 +8,7 @@
 use rhubarbthread::connection::segment::Segment;
 use rhubarbthread::connection::target_gate::TargetPhase;
 use rhubarbthread::connection::target_report::TargetReport;
+use rhubarbthread::process::passthrough::message::ReturnedSegment;
 use rhubarbthread::version::routing::Configuration;
 use rhubarbthread::version::routing::RouteRule;
 use rhubarbthread::version::routing::ServiceLimits;
@@ -52,6 +53,13 @@
     Segment { opens: true, ..segment_of(route_port, caller_port) }
 }
 
+/// What an agent at the end of a chain says of a segment that it returns, where all agents of the chain know that
+/// their targets do not hold the flow.
+pub fn returned(agent: SocketAddrV4, search_id: u32, saw_full_target: bool) -> ReturnedSegment {
+    let segment = Vec::new();
+    ReturnedSegment { agent, search_id, segment, saw_full_target, is_ruled_out: true }
+}
+
 /// A report of a ready, warm target.
 pub fn report_of(id: &str, started_ms: u64, sequence: u64) -> TargetReport {
     TargetReport {
