No number of a report shows that an agent has seen all flows

All flows that opened at the target are reset after its second report, though it lives and holds them.

Cause: an agent that has seen all flows of its target answers for an unknown flow itself. It took a first report with the number 1 for the proof, as no opening is forwarded to a target that has not reported. PROTOCOL says that the number increases with each call and starts anew with each start of the server, not where it begins. Here the predecessor had received number 0 and admitted the flows. No other first number would do: a report that was answered too late may be repeated after its receiver admitted flows.

Evidence: in the test, agents whose first report has the number 0 or 2 ask the target for the flow, and with number 1 the segment is dropped as of an unknown flow. no_number_of_a_report_shows_that_all_flows_were_seen failed before with "number 1: Drop".

Change: only an observed end counts: the host refused a connection, which each agent tries at its start, or the instance before ended. This holds whatever the target counts, as all segments to a target pass its agent.

an_agent_that_got_the_first_report_has_seen_every_flow demanded the fault; it now checks the same answer of an agent that started before its target, and the new test what a first report alone gives. Four tests of cold targets and of targets given up start their agents before the target, as they assumed.

Tests of the gate, the instances and the searches pass.

--- a/src/connection/target_gate.rs
+++ b/src/connection/target_gate.rs
@@ -254,7 +254,7 @@
         self.instances.last_heard_ms()
     }
 
-    /// Whether this process has observed the current instance from its start and therefore every flow of it.
+    /// Whether the current instance has started after this process, which has therefore seen every flow of it.
     pub fn has_seen_all_flows(&self) -> bool {
         self.instances.has_seen_all_flows()
     }
--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -21,10 +21,6 @@
 use crate::connection::target_report::ReportOutcome;
 use crate::connection::target_report::TargetReport;
 
-/// Sequence number of the first report of a target instance. Openings are forwarded only to an instance
-/// that has reported, so an agent that received this report has seen every flow of the instance.
-const FIRST_SEQUENCE: u64 = 1;
-
 /// Minimum time from the first to the last report of an instance that replaces another one, in milliseconds.
 /// Late reports arrive together once they are no longer held up.
 const MIN_REPORTING_MS: u64 = 500;
@@ -135,8 +131,9 @@
         self.past.iter().find(|past| past.key == *key)
     }
 
-    /// Whether this process has observed the current instance from its start and therefore, as all segments
-    /// to a target pass through its agent, every flow of it.
+    /// Whether the current instance has started after this process and therefore, as all segments to a target pass
+    /// through its agent, this process has seen every flow of it. No report shows that, whatever its number: an
+    /// earlier one may have reached the process before this one, which then admitted flows.
     pub fn has_seen_all_flows(&self) -> bool {
         self.has_seen_all_flows
     }
@@ -434,8 +431,7 @@
         }
         let has_observed_end = self.is_connection_refused || self.current.is_some();
         self.is_first = !has_observed_end && outcome == ReportOutcome::NewLife;
-        self.has_seen_all_flows = outcome == ReportOutcome::NewLife
-            && (has_observed_end || next.report.sequence == FIRST_SEQUENCE);
+        self.has_seen_all_flows = outcome == ReportOutcome::NewLife && has_observed_end;
         let key = next.key();
         let run = next.run;
         self.past.retain(|past| past.key != key);
--- a/src/connection/target_report.rs
+++ b/src/connection/target_report.rs
@@ -7,7 +7,7 @@
     pub id: String,
     /// Start time of the instance, in Unix milliseconds.
     pub started_ms: u64,
-    /// Sequence number of this report within the instance, from 1.
+    /// Sequence number of this report within the instance; increases with each report, from any number.
     pub sequence: u64,
     /// Service that the target runs.
     pub service: String,
--- a/tests/flow_search.rs
+++ b/tests/flow_search.rs
@@ -34,9 +34,6 @@
 /// Agents of the tests, with their zones.
 const AGENTS: [(u8, &str); 4] = [(11, "a"), (12, "a"), (21, "b"), (31, "c")];
 
-/// Sequence number of the first report that a restarted agent gets from its target.
-const LATER_REPORT: u64 = 17;
-
 /// The request of the flow from this port.
 fn request(port: u16) -> Segment {
     Segment { payload_bytes: 100, acknowledged: 8, ..segment_of(ROUTE, port) }
@@ -60,7 +57,7 @@
 impl Site {
     /// Balancers that have just started, and agents that have seen all flows of their targets.
     fn new(balancers: usize) -> Site {
-        let agents = AGENTS.map(|(octet, _)| (agent(octet), started_agent(1)));
+        let agents = AGENTS.map(|(octet, _)| (agent(octet), started_agent(true)));
         Site {
             balancers: (0..balancers).map(|_| started_balancer()).collect(),
             agents: agents.into_iter().collect(),
@@ -80,7 +77,7 @@
     }
 
     fn restart_agent(&mut self, octet: u8) {
-        self.agents[&agent(octet)] = started_agent(LATER_REPORT);
+        self.agents[&agent(octet)] = started_agent(false);
     }
 
     /// Occupies all slots of a target, so that further requests are queued.
@@ -177,10 +174,13 @@
     }
 }
 
-/// An agent whose first report from its target has this sequence number.
-fn started_agent(sequence: u64) -> AgentState {
+/// An agent that has started before its target, or while the target ran.
+fn started_agent(is_before_target: bool) -> AgentState {
     let mut agent = AgentState::new(7, 1_800, 0).with_request_order(RequestOrder::Priority);
-    agent.apply_report(report_of("a", 1, sequence), 0);
+    if is_before_target {
+        agent.gate.note_connection_refused();
+    }
+    agent.apply_report(report_of("a", 1, 1), 0);
     agent.introduction.note_registered_balancers(IndexSet::new());
     agent
 }
--- a/tests/passthrough_gate.rs
+++ b/tests/passthrough_gate.rs
@@ -54,6 +54,7 @@
 
 fn gate() -> TargetGate {
     let mut gate = TargetGate::new(TARGET_TIMEOUT_MS);
+    gate.note_connection_refused();
     gate.apply_report(report_of("a", 1, 1), 0);
     gate
 }
@@ -539,8 +540,9 @@
         let action = agent.handle_target_segment(&Segment { resets: true, ..segment(1) }, 2);
         assert!(matches!(action, Action::ForwardToCaller { .. }), "{action:?}");
     };
-    an_agent_that_got_the_first_report_has_seen_every_flow: {
+    an_agent_whose_target_has_started_after_it_has_seen_every_flow: {
         let mut agent = AgentState::new(INCARNATION, TARGET_TIMEOUT_MS, 0);
+        agent.gate.note_connection_refused();
         agent.gate.apply_report(report_of("a", 1, 1), 0);
         assert_eq!(
             agent.handle_node_segment(&segment(1), header(&[], 4), 1),
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -148,6 +148,16 @@
         }
         assert_eq!(admit(&mut gate, "zpravy", 2_311), Ok(()));
     };
+    // An agent took a report with the number 1 for the first one, and refused the flows that its predecessor had
+    // admitted after a report with the number 0, or after one that it answered too late.
+    no_number_of_a_report_shows_that_all_flows_were_seen: {
+        for sequence in [0, 1, 2] {
+            let mut agent = AgentState::new(7, TARGET_TIMEOUT_MS, 0);
+            agent.apply_report(report_of("a", 1_000, sequence), 1);
+            let action = agent.handle_node_segment(&segment_of(443, 1), SegmentHeader::default(), 2);
+            assert!(matches!(action, Action::ForwardToTarget { .. }), "number {sequence}: {action:?}");
+        }
+    };
     a_late_report_that_comes_before_the_balancers_answer_counts_for_nothing: {
         let before = gate();
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
@@ -227,6 +237,7 @@
         let limits = TargetLimits { cold_openings_per_s: Some(3), max_flows: 100 };
         let cold = |sequence| TargetReport { cold_remaining_ms: 9_000, ..report_of("a", 1_000, sequence) };
         let mut before = TargetGate::new(TARGET_TIMEOUT_MS);
+        before.note_connection_refused();
         before.set_limits("vypocet", limits);
         before.apply_report(cold(1), 0);
         let used = (0..9).filter(|now_ms| admit(&mut before, "vypocet", *now_ms).is_ok()).count();
