A late leave call does not show that the next target instance is new

Cause: the end of the current instance counted as observed also where nothing showed that the instance had run since the agent's start.

--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -358,6 +358,15 @@
         keeps_reporting && (current_silent_ms >= CURRENT_SILENT_MS || self.has_ended())
     }
 
+    /// Whether a moment before the next instance was observed: the host refused connections, or the current instance
+    /// ran since this process started. Late reports and a late leave call of an earlier one don't show that.
+    fn has_observed_predecessor(&self) -> bool {
+        let has_run = |current: &Instance| current.run.reaches(END_PROOF_REPORTS, END_PROOF_MS);
+        self.is_connection_refused
+            || self.has_seen_all_flows
+            || self.current.as_ref().is_some_and(has_run)
+    }
+
     /// Makes the unproven instances prove again that they run, as the current one has reported, and removes those
     /// that are shown to have ended. Returns whether one of them drained.
     fn outlast_others(&mut self, now_ms: u64) -> bool {
@@ -429,9 +438,10 @@
         if self.known.is_some_and(|known| known.hash == next.key().hash() && known.is_leaving) {
             next.is_leaving = true;
         }
-        let has_observed_end = self.is_connection_refused || self.current.is_some();
-        self.is_first = !has_observed_end && outcome == ReportOutcome::NewLife;
-        self.has_seen_all_flows = outcome == ReportOutcome::NewLife && has_observed_end;
+        let is_after_another = self.is_connection_refused || self.current.is_some();
+        self.is_first = !is_after_another && outcome == ReportOutcome::NewLife;
+        self.has_seen_all_flows =
+            outcome == ReportOutcome::NewLife && self.has_observed_predecessor();
         let key = next.key();
         let run = next.run;
         self.past.retain(|past| past.key != key);
--- a/tests/target_instances.rs
+++ b/tests/target_instances.rs
@@ -158,6 +158,26 @@
             assert!(matches!(action, Action::ForwardToTarget { .. }), "number {sequence}: {action:?}");
         }
     };
+    // Late calls of an instance that has ended long before were taken for the end of the one that ran.
+    late_calls_of_an_earlier_instance_do_not_show_that_all_flows_were_seen: {
+        let mut agent = AgentState::new(7, TARGET_TIMEOUT_MS, 0);
+        for (sequence, now_ms) in [(8, 1), (9, 2)] {
+            agent.apply_report(report_of("late", 500, sequence), now_ms);
+        }
+        assert_eq!(agent.note_leave("late", Some(500)), LeaveOutcome::Ended);
+        assert_eq!(agent.apply_report(report_of("a", 1_000, 5), 400), ReportOutcome::NewLife);
+        let action = agent.handle_node_segment(&segment_of(443, 1), SegmentHeader::default(), 401);
+        assert!(matches!(action, Action::ForwardToTarget { .. }), "{action:?}");
+    };
+    the_instance_after_one_that_ran_and_left_has_no_flow_from_before: {
+        let mut gate = gate();
+        for (sequence, now_ms) in [(2, 770), (3, 1_540)] {
+            gate.apply_report(report_of("a", 1_000, sequence), now_ms);
+        }
+        assert_eq!(gate.note_leave("a", Some(1_000)), LeaveOutcome::Ended);
+        assert_eq!(gate.apply_report(report_of("b", 400, 4), 1_600), ReportOutcome::NewLife);
+        assert!(gate.has_seen_all_flows());
+    };
     a_late_report_that_comes_before_the_balancers_answer_counts_for_nothing: {
         let before = gate();
         let mut gate = TargetGate::new(TARGET_TIMEOUT_MS).with_start(500);
