Check at the host whether a target left that has reported to its agent once

The target counted as ended until the running instance reported next, and segments of its flows were returned as not held, for which balancers reset them.

Cause: the first report after an agent's start is believed, and a leave call that names the same instance was taken for the end of the target.

A target that did leave is found ended by the refused connection.

--- a/src/connection/target_instance.rs
+++ b/src/connection/target_instance.rs
@@ -3,6 +3,10 @@
 use crate::connection::target_report::TargetReport;
 use crate::version::hash::hash64;
 
+/// Minimum time from the first to the last report of an instance that shows that it runs, in milliseconds. Late
+/// reports arrive together once they are no longer held up.
+const MIN_REPORTING_MS: u64 = 500;
+
 /// Identity of a target instance.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct InstanceKey {
@@ -81,6 +85,11 @@
         InstanceKey::of(&self.report)
     }
 
+    /// Whether it has reported more than once, over [`MIN_REPORTING_MS`].
+    pub(super) fn keeps_reporting(&self) -> bool {
+        self.run.reaches(2, MIN_REPORTING_MS)
+    }
+
     /// Applies a report. Returns whether it is a later one than the last; of an earlier one only the draining
     /// counts, which is never taken back.
     pub(super) fn apply(&mut self, report: TargetReport, now_ms: u64) -> bool {
--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -21,10 +21,6 @@
 use crate::connection::target_report::ReportOutcome;
 use crate::connection::target_report::TargetReport;
 
-/// Minimum time from the first to the last report of an instance that replaces another one, in milliseconds.
-/// Late reports arrive together once they are no longer held up.
-const MIN_REPORTING_MS: u64 = 500;
-
 /// Time without a report from the current instance, in milliseconds, after which another one may replace it:
 /// by then a periodic report is missing.
 const CURRENT_SILENT_MS: u64 = 1_000;
@@ -227,11 +223,12 @@
         if is_current && self.has_left {
             return LeaveOutcome::OtherInstance;
         }
-        if is_current && started_ms.is_some() {
+        if is_current && started_ms.is_some() && !self.may_be_late() {
             self.has_left = true;
             return LeaveOutcome::Ended;
         }
         let may_run = match started_ms {
+            Some(_) if is_current => true,
             Some(started_ms) => self.end_other(InstanceKey { id: id.to_owned(), started_ms }),
             None => is_current || self.unproven.keys().any(|key| key.id == id),
         };
@@ -242,6 +239,12 @@
         LeaveOutcome::Unverified
     }
 
+    /// Whether the current instance may be known by a late report alone: it was believed at the first report of this
+    /// process, and has not shown since that it runs.
+    fn may_be_late(&self) -> bool {
+        self.is_first && !self.current.as_ref().is_some_and(Instance::keeps_reporting)
+    }
+
     /// Records that an instance other than the current one has left: its reports that are still to come are late.
     /// Returns whether it may have been what ran.
     fn end_other(&mut self, key: InstanceKey) -> bool {
@@ -347,10 +350,8 @@
     }
 
     fn is_proven(&self, key: &InstanceKey, now_ms: u64) -> bool {
-        let keeps_reporting = self
-            .unproven
-            .get(key)
-            .is_some_and(|unproven| unproven.instance.run.reaches(2, MIN_REPORTING_MS));
+        let keeps_reporting =
+            self.unproven.get(key).is_some_and(|unproven| unproven.instance.keeps_reporting());
         let current_silent_ms = self
             .current
             .as_ref()
