Agents that are away get copies only if no agent tracks the flow

One of them may have started again, which its balancers don't know yet. It sends the copy to its target, though the agent of the flow answers at the same time. So copies reach other targets as the segments of searches did.

Change: the copies wait for the end of the round in the agents' tables. They are sent if no agent tracks the flow, and with a search that follows one that timed out, which may never end.

searches_for_a_queued_request_send_no_copies_to_agents_that_are_away failed before: three copies at one target.

--- a/src/connection/flow_locations.rs
+++ b/src/connection/flow_locations.rs
@@ -60,6 +60,8 @@
     search_round: SearchRound,
     /// Whether a chain of the search has passed an agent that would have to ask its target.
     has_unasked_targets: bool,
+    /// Whether unavailable agents get a copy of the segment at the end of the round.
+    has_postponed_copies: bool,
     /// Agents that have answered that they do not hold the flow.
     ruled_out: AskedAgents,
     ruled_out_ms: u64,
@@ -208,6 +210,7 @@
         }
         entry.search_round = round;
         entry.has_unasked_targets = false;
+        entry.has_postponed_copies = false;
         entry.search_id = search_id;
         entry.search_started_ms = now_ms;
         entry.asked_change = changes.start() - 1;
@@ -216,6 +219,19 @@
         search_id
     }
 
+    /// Notes that unavailable agents get a copy of the segment unless the round of the search finds the flow.
+    pub fn postpone_copies(&mut self, flow: &FlowKey) {
+        if let Some(entry) = self.entries.get_mut(flow) {
+            entry.has_postponed_copies = true;
+        }
+    }
+
+    /// Whether copies were postponed; they no longer are.
+    pub fn take_postponed_copies(&mut self, flow: &FlowKey) -> bool {
+        let entry = self.entries.get_mut(flow);
+        entry.is_some_and(|entry| std::mem::take(&mut entry.has_postponed_copies))
+    }
+
     /// Agents that have answered that they do not hold the flow.
     pub fn ruled_out(&self, flow: &FlowKey, now_ms: u64) -> AskedAgents {
         let ruled_out = self.entries.get(flow).and_then(|entry| entry.ruled_out(now_ms));
@@ -407,6 +423,7 @@
             searched: AskedAgents::default(),
             search_round: SearchRound::Tables,
             has_unasked_targets: false,
+            has_postponed_copies: false,
             ruled_out: AskedAgents::default(),
             ruled_out_ms: 0,
             pending_chains: 0,
--- a/src/process/passthrough/balancer_state.rs
+++ b/src/process/passthrough/balancer_state.rs
@@ -92,6 +92,22 @@
             ForwardingDecision::Drop(reason) => format!("drop: {}", reason.as_str()),
         }
     }
+
+    /// Also sends the segment to these agents, unless its flow is reset.
+    fn with_copies(self, copies: Vec<(SocketAddrV4, SegmentHeader)>) -> ForwardingDecision {
+        match self {
+            decision if copies.is_empty() => decision,
+            ForwardingDecision::Send(destinations) => {
+                ForwardingDecision::Send([copies, destinations].concat())
+            }
+            ForwardingDecision::SendAndWait(destinations, reason) => {
+                ForwardingDecision::SendAndWait([copies, destinations].concat(), reason)
+            }
+            ForwardingDecision::Wait(reason) => ForwardingDecision::SendAndWait(copies, reason),
+            ForwardingDecision::Drop(_) => ForwardingDecision::Send(copies),
+            ForwardingDecision::Reset(reason) => ForwardingDecision::Reset(reason),
+        }
+    }
 }
 
 /// Why a segment is queued.
@@ -346,6 +362,24 @@
         }
         let search_state =
             self.flow_locations.note_not_held(&flow, search_id, is_ruled_out, now_ms);
+        if search_state == SearchState::Pending {
+            return ForwardingDecision::Drop(DropReason::Searching);
+        }
+        let copies = match self.reachable_holder(&flow, now_ms) {
+            Some(_) => Vec::new(),
+            None => self.take_postponed_copies(&flow, now_ms),
+        };
+        self.continue_search(segment, search_state, now_ms).with_copies(copies)
+    }
+
+    /// Decides what to do with a segment after a round of a search in which all chains returned it.
+    fn continue_search(
+        &mut self,
+        segment: &Segment,
+        search_state: SearchState,
+        now_ms: u64,
+    ) -> ForwardingDecision {
+        let flow = segment.flow;
         match search_state {
             SearchState::Pending => return ForwardingDecision::Drop(DropReason::Searching),
             SearchState::TargetsUnasked if self.reachable_holder(&flow, now_ms).is_none() => {
@@ -812,8 +846,9 @@
     }
 
     /// Sends the segment to the agents that may hold its flow and have not answered that they do not. It is
-    /// queued if there are none, or a search is in progress. Unavailable agents get a copy of what a caller sends,
-    /// but none when another agent has become available: during an upgrade that happens many times a second.
+    /// queued if there are none, or a search is in progress. Unavailable agents get a copy of what a caller sends if no
+    /// other agent tracks the flow, or a search has timed out, but none when another agent has become available: during
+    /// an upgrade that happens many times a second.
     ///
     /// A search first looks in the agents' tables: while a request is queued at the flow's own agent, the platform
     /// considers the flow lost if segments of it reach other targets alone. Once searches have timed out repeatedly,
@@ -829,13 +864,14 @@
             return ForwardingDecision::Wait(WaitReason::SearchInProgress);
         }
         let may_ask_again = self.flow_locations.may_ask_again(&flow, now_ms);
-        let mut round = SearchRound::Tables;
-        if self.flow_locations.has_search_timed_out(&flow, now_ms) {
+        let has_timed_out = self.flow_locations.has_search_timed_out(&flow, now_ms);
+        if has_timed_out {
             self.targets.recheck_all(now_ms);
-            if !may_ask_again {
-                round = SearchRound::Targets;
-            }
         }
+        let round = match has_timed_out && !may_ask_again {
+            true => SearchRound::Targets,
+            false => SearchRound::Tables,
+        };
         self.targets.note_available_agents(now_ms);
         let ruled_out = self.flow_locations.ruled_out(&flow, now_ms);
         let mut search = self.plan_search(&flow, &ruled_out, 0, now_ms);
@@ -856,7 +892,14 @@
             self.flow_locations.note_searched_up_to(&flow, *search.changes.end());
             return self.decide_without_chains(&flow, copies, ruled_out.change, now_ms);
         }
-        self.send_search(segment, round, search, copies, now_ms)
+        let decision = self.send_search(segment, round, search, now_ms);
+        if has_timed_out {
+            return decision.with_copies(copies);
+        }
+        if !copies.is_empty() {
+            self.flow_locations.postpone_copies(&flow);
+        }
+        decision
     }
 
     /// Continues a search in which no agent tracks the flow: those that have not seen all flows of their targets ask
@@ -875,16 +918,15 @@
         if search.chains.is_empty() {
             return self.decide_without_chains(&flow, Vec::new(), ruled_out.change, now_ms);
         }
-        self.send_search(segment, SearchRound::Targets, search, Vec::new(), now_ms)
+        self.send_search(segment, SearchRound::Targets, search, now_ms)
     }
 
-    /// Sends the segment along the chains of a search, in addition to `copies`.
+    /// Sends the segment along the chains of a search.
     fn send_search(
         &mut self,
         segment: &Segment,
         round: SearchRound,
         search: Search,
-        copies: Vec<(SocketAddrV4, SegmentHeader)>,
         now_ms: u64,
     ) -> ForwardingDecision {
         let Search { chains, unasked, changes, .. } = search;
@@ -904,12 +946,11 @@
             is_ruled_out: true,
             ..SegmentHeader::default()
         };
-        let mut destinations = copies;
-        for mut chain in chains {
+        let destinations = chains.into_iter().map(|mut chain| {
             let first = chain.remove(0);
-            destinations.push((first, SegmentHeader { chain, ..header.clone() }));
-        }
-        ForwardingDecision::Send(destinations)
+            (first, SegmentHeader { chain, ..header.clone() })
+        });
+        ForwardingDecision::Send(destinations.collect())
     }
 
     /// Decides on a segment of a flow that no available agent has to be asked for. `copies` go to agents that
@@ -932,13 +973,22 @@
                 (false, false) => ForwardingDecision::Send(copies),
             };
         }
-        match self.conclude_search(flow, now_ms) {
-            ForwardingDecision::Wait(reason) if !copies.is_empty() => {
-                ForwardingDecision::SendAndWait(copies, reason)
-            }
-            ForwardingDecision::Drop(_) if !copies.is_empty() => ForwardingDecision::Send(copies),
-            decision => decision,
+        self.conclude_search(flow, now_ms).with_copies(copies)
+    }
+
+    /// The copies that were postponed until the end of the round of a search that has ended now.
+    fn take_postponed_copies(
+        &mut self,
+        flow: &FlowKey,
+        now_ms: u64,
+    ) -> Vec<(SocketAddrV4, SegmentHeader)> {
+        if !self.flow_locations.take_postponed_copies(flow) {
+            return Vec::new();
         }
+        let ruled_out = self.flow_locations.ruled_out(flow, now_ms);
+        let asked_change = self.flow_locations.asked_change(flow);
+        let search = self.plan_search(flow, &ruled_out, asked_change, now_ms);
+        self.copies_to_unavailable(&search.unavailable)
     }
 
     fn copies_to_unavailable(&self, agents: &[SocketAddrV4]) -> Vec<(SocketAddrV4, SegmentHeader)> {
--- a/tests/flow_search.rs
+++ b/tests/flow_search.rs
@@ -18,6 +18,7 @@
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
 use rhubarbthread::process::passthrough::message::ReturnedSegment;
 use rhubarbthread::process::passthrough::segment_header::SegmentHeader;
+use rhubarbthread::version::target_status::TargetStatus;
 
 use crate::support::passthrough::address;
 use crate::support::passthrough::agent;
@@ -231,6 +232,28 @@
         site.receive(0, &request(1), 0);
         assert_eq!((site.at_target(11), site.resets.as_slice()), (1, &[ResetReason::NotHeld][..]));
     };
+    // Agents that were away, but had started again, sent copies of queued requests to their targets.
+    searches_for_a_queued_request_send_no_copies_to_agents_that_are_away: {
+        let mut site = Site::new(3);
+        site.restart_agent(31);
+        site.fill_slots(21);
+        site.open(1, 21);
+        for (balancer, now_ms) in [(0, 0), (1, 800), (2, 2_400)] {
+            let stopping = TargetStatus { is_stopping: true, sequence: 2, ..status_of(31, "c", "vypocet") };
+            site.balancers[balancer].targets.apply_status(stopping, 0, now_ms);
+            site.receive(balancer, &request(1), now_ms);
+        }
+        assert_eq!((site.at_target(31), site.resets.len()), (0, 0));
+    };
+    a_flow_at_an_agent_that_is_away_gets_a_copy_once_the_others_have_answered: {
+        let mut site = Site::new(1);
+        site.open(1, 31);
+        site.restart_agent(31);
+        let stopping = TargetStatus { is_stopping: true, sequence: 2, ..status_of(31, "c", "vypocet") };
+        site.balancers[0].targets.apply_status(stopping, 0, 0);
+        site.receive(0, &request(1), 0);
+        assert_eq!((site.at_target(31), site.resets.len()), (1, 0));
+    };
     // An agent that is gone hides the agents behind it from the round in the tables, which never ends.
     a_flow_behind_an_agent_that_is_gone_is_found_by_the_third_search: {
         for (gone, holder) in [(11, 12), (12, 11)] {
