--- a/src/connection/target_instances.rs
+++ b/src/connection/target_instances.rs
@@ -439,8 +439,8 @@
         if self.known.is_some_and(|known| known.hash == next.key().hash() && known.is_leaving) {
             next.is_leaving = true;
         }
-        let is_after_another = self.is_connection_refused || self.current.is_some();
-        self.is_first = !is_after_another && outcome == ReportOutcome::NewLife;
+        let has_predecessor = self.is_connection_refused || self.current.is_some();
+        self.is_first = !has_predecessor && outcome == ReportOutcome::NewLife;
         self.has_seen_all_flows =
             outcome == ReportOutcome::NewLife && self.has_observed_predecessor();
         let key = next.key();
--- a/tests/flow_search.rs
+++ b/tests/flow_search.rs
@@ -16,7 +16,9 @@
 use rhubarbthread::process::passthrough::balancer_state::BalancerState;
 use rhubarbthread::process::passthrough::balancer_state::ForwardingDecision;
 use rhubarbthread::process::passthrough::balancer_state::ResetReason;
+use rhubarbthread::process::passthrough::message::NodeMessage;
 use rhubarbthread::process::passthrough::message::ReturnedSegment;
+use rhubarbthread::process::passthrough::segment_header;
 use rhubarbthread::process::passthrough::segment_header::SegmentHeader;
 use rhubarbthread::version::target_status::TargetStatus;
 
@@ -221,6 +223,16 @@
         site.receive(0, &request(1), 0);
         assert_eq!((site.at_target(31), site.resets.len()), (1, 0));
     };
+    the_marks_of_a_search_reach_other_nodes: {
+        for (is_tables_only, is_ruled_out) in [(true, false), (false, true)] {
+            let header = SegmentHeader { is_tables_only, is_ruled_out, ..SegmentHeader::default() };
+            let mut datagram = Vec::new();
+            segment_header::encode(&header, b"segment", &mut datagram);
+            assert_eq!(segment_header::decode(&datagram).map(|(header, _)| header), Ok(header));
+            let message = NodeMessage::Returned(ReturnedSegment { is_ruled_out, ..returned(agent(11), 4, false) });
+            assert_eq!(NodeMessage::decode(&message.encode()), Some(message));
+        }
+    };
     a_flow_that_no_target_holds_is_reset_by_the_tables_alone: {
         let mut site = Site::new(1);
         site.receive(0, &request(1), 0);
