--- a/tests/flow_search.rs
+++ b/tests/flow_search.rs
@@ -266,7 +266,7 @@
         site.receive(0, &request(1), 0);
         assert_eq!((site.at_target(31), site.resets.len()), (1, 0));
     };
-    // An agent that is gone hides the agents behind it from the round in the tables, which never ends.
+    // The round in the tables never ends if an agent of the chain is gone, and does not reach the agents behind it.
     a_flow_behind_an_agent_that_is_gone_is_found_by_the_third_search: {
         for (gone, holder) in [(11, 12), (12, 11)] {
             let mut site = Site::new(1);
@@ -280,7 +280,7 @@
             assert_eq!(site.resets, []);
         }
     };
-    // An agent of an earlier build asks its target, and passes on that nobody's target was left out.
+    // An agent of an earlier build asks its target, and drops the mark that the agents before it ruled the flow out.
     agents_of_an_earlier_build_in_a_chain_hide_no_flow: {
         for (earlier, holder) in [(11, 12), (12, 11)] {
             let mut site = Site::new(1);
