--- /dev/null
+++ b/review/standins-3/src/main.rs
@@ -0,0 +1,46 @@
+#![allow(dead_code)]
+
+//! Stand-ins and cases of the third review. Usage: review-3 CASE FOLDER; exits with 1 if the rule was broken,
+//! 0 if it held, and 2 if the case could not run.
+
+mod client;
+mod drained_node;
+mod http;
+mod json;
+mod nodes;
+mod packet;
+mod record;
+mod reuse;
+mod server;
+mod site;
+mod store;
+
+use std::process::exit;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-3 CASE FOLDER");
+        exit(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let outcome = match case.as_str() {
+        "drained-node" => drained_node::run(folder, has_trouble),
+        "reuse" => reuse::run(folder, has_trouble),
+        other => Err(format!("no case {other}")),
+    };
+    match outcome {
+        Ok(true) => {
+            println!("the rule held");
+            exit(0)
+        }
+        Ok(false) => {
+            println!("the rule was broken");
+            exit(1)
+        }
+        Err(message) => {
+            eprintln!("the case could not run: {message}");
+            exit(2)
+        }
+    }
+}
