--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -3,18 +3,18 @@
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::net::UdpSocket;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::http;
+use crate::packet::Packet;
 use crate::packet::ACK;
 use crate::packet::FIN;
-use crate::packet::Packet;
 use crate::packet::RST;
 use crate::packet::SYN;
 
@@ -36,8 +36,13 @@
                 while !stop.load(Ordering::Relaxed) {
                     let began = Instant::now();
                     let ready = routers.nodes[index].1;
-                    let answer = http::call(ready, "GET", "/v1/readyz", "", Duration::from_millis(450));
-                    misses = if answer.is_some_and(|(status, _)| status == 200) { 0 } else { misses + 1 };
+                    let answer =
+                        http::call(ready, "GET", "/v1/readyz", "", Duration::from_millis(450));
+                    misses = if answer.is_some_and(|(status, _)| status == 200) {
+                        0
+                    } else {
+                        misses + 1
+                    };
                     routers.in_rotation.lock().unwrap()[index] = misses < 2;
                     thread::sleep(Duration::from_millis(500).saturating_sub(began.elapsed()));
                 }
@@ -54,8 +59,11 @@
         let in_rotation = self.in_rotation.lock().unwrap();
         let ready: Vec<usize> = (0..self.nodes.len()).filter(|index| in_rotation[*index]).collect();
         // With fewer than half of the nodes in rotation, all are used.
-        let used: Vec<usize> =
-            if ready.len() * 2 < self.nodes.len() { (0..self.nodes.len()).collect() } else { ready };
+        let used: Vec<usize> = if ready.len() * 2 < self.nodes.len() {
+            (0..self.nodes.len()).collect()
+        } else {
+            ready
+        };
         self.nodes[used[hash as usize % used.len()]].0
     }
 }
@@ -116,7 +124,8 @@
 }
 
 fn request_data(id: &str) -> Vec<u8> {
-    let head = format!("POST /edit HTTP/1.1\r\nX-Attempt-Id: {id}\r\nContent-Length: 5\r\n\r\nedit\n");
+    let head =
+        format!("POST /edit HTTP/1.1\r\nX-Attempt-Id: {id}\r\nContent-Length: 5\r\n\r\nedit\n");
     head.into_bytes()
 }
 
@@ -134,7 +143,11 @@
 }
 
 impl Clients {
-    pub fn start(address: SocketAddrV4, routers: Arc<Routers>, stop: Arc<AtomicBool>) -> Arc<Clients> {
+    pub fn start(
+        address: SocketAddrV4,
+        routers: Arc<Routers>,
+        stop: Arc<AtomicBool>,
+    ) -> Arc<Clients> {
         let socket = UdpSocket::bind(address).expect("the clients' address is free");
         socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
         let clients = Arc::new(Clients { address, socket, routers, state: Mutex::default() });
@@ -165,7 +178,14 @@
     }
 
     /// Opens a flow to a route and sends requests on it, each a pause after the answer to the one before.
-    pub fn requests(&self, route: SocketAddrV4, id: &str, deadline: Duration, count: u32, pause: Duration) {
+    pub fn requests(
+        &self,
+        route: SocketAddrV4,
+        id: &str,
+        deadline: Duration,
+        count: u32,
+        pause: Duration,
+    ) {
         let mut state = self.state.lock().unwrap();
         let number = state.attempts.len();
         let port = 20_000 + (number % 40_000) as u16;
@@ -261,7 +281,8 @@
         }
         if packet.is(RST) {
             let is_open = attempt.opened_at.is_some();
-            if is_open && packet.seq.wrapping_sub(attempt.server_seq).wrapping_add(76_800) > 153_600 {
+            if is_open && packet.seq.wrapping_sub(attempt.server_seq).wrapping_add(76_800) > 153_600
+            {
                 return;
             }
             (attempt.outcome, attempt.ended_at) = (Outcome::Reset, Some(now));
@@ -279,7 +300,8 @@
         }
         let is_next = packet.seq == attempt.server_seq && attempt.is_waiting;
         if attempt.opened_at.is_some() && !packet.data.is_empty() && is_next {
-            attempt.answer = String::from_utf8_lossy(&packet.data).lines().last().unwrap_or("").to_owned();
+            attempt.answer =
+                String::from_utf8_lossy(&packet.data).lines().last().unwrap_or("").to_owned();
             attempt.server_seq = packet.seq.wrapping_add(packet.data.len() as u32);
             attempt.answers += 1;
             if attempt.further == 0 || packet.is(FIN) {
--- a/review/standins-3/src/drained_node.rs
+++ b/review/standins-3/src/drained_node.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::Verdict;
 use crate::client::Outcome;
 use crate::nodes::SIGTERM;
-use crate::site::SERVICES;
 use crate::site::Site;
+use crate::site::SERVICES;
+use crate::Verdict;
 
 const FLOWS: usize = 70;
 const REQUESTS: u32 = 8;
@@ -30,7 +30,13 @@
     }
     let route = site.network.at(200 + SERVICES[0].1, 443);
     for number in 0..FLOWS {
-        site.clients.requests(route, &format!("flow-{number}"), Duration::from_secs(5), REQUESTS, PAUSE);
+        site.clients.requests(
+            route,
+            &format!("flow-{number}"),
+            Duration::from_secs(5),
+            REQUESTS,
+            PAUSE,
+        );
         thread::sleep(Duration::from_millis(30));
     }
     thread::sleep(Duration::from_secs(1));
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -123,7 +123,13 @@
 }
 
 /// Makes one call on a connection of its own; returns the status and the body of the answer.
-pub fn call(to: SocketAddrV4, method: &str, path: &str, body: &str, timeout: Duration) -> Option<(u16, String)> {
+pub fn call(
+    to: SocketAddrV4,
+    method: &str,
+    path: &str,
+    body: &str,
+    timeout: Duration,
+) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&to.into(), timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let text = format!(
--- a/review/standins-3/src/json.rs
+++ b/review/standins-3/src/json.rs
@@ -112,7 +112,8 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -7,8 +7,10 @@
 mod drained_node;
 mod http;
 mod json;
+mod late_ping;
 mod nodes;
 mod packet;
+mod proxy;
 mod record;
 mod reuse;
 mod server;
@@ -33,6 +35,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "drained-node" => drained_node::run(folder, has_trouble),
+        "late-ping" => late_ping::run(folder, has_trouble),
         "reuse" => reuse::run(folder, has_trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/standins-3/src/nodes.rs
+++ b/review/standins-3/src/nodes.rs
@@ -56,7 +56,14 @@
 }
 
 impl Node {
-    pub fn start(folder: &Path, network: Network, role: &'static str, host: u8, zone: &str, seeds: &[u8]) -> Node {
+    pub fn start(
+        folder: &Path,
+        network: Network,
+        role: &'static str,
+        host: u8,
+        zone: &str,
+        seeds: &[u8],
+    ) -> Node {
         let at = |port| network.at(host, port).to_string();
         let name = format!("{role}-{zone}-{host}");
         let own = match role {
@@ -120,7 +127,8 @@
 }
 
 fn spawn(role: &str, settings: &Path, log: &Path) -> Child {
-    let log = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log can be written");
+    let log =
+        fs::OpenOptions::new().create(true).append(true).open(log).expect("a log can be written");
     Command::new("target/release/rhubarbthread-node")
         .arg(role)
         .env("RHUBARBTHREAD_CONFIG", settings)
--- a/review/standins-3/src/packet.rs
+++ b/review/standins-3/src/packet.rs
@@ -23,7 +23,14 @@
 }
 
 impl Packet {
-    pub fn new(src: SocketAddrV4, dst: SocketAddrV4, seq: u32, ack: u32, flags: u8, data: &[u8]) -> Packet {
+    pub fn new(
+        src: SocketAddrV4,
+        dst: SocketAddrV4,
+        seq: u32,
+        ack: u32,
+        flags: u8,
+        data: &[u8],
+    ) -> Packet {
         Packet { echo: 0, src, dst, seq, ack, flags, data: data.to_vec() }
     }
 
--- a/review/standins-3/src/reuse.rs
+++ b/review/standins-3/src/reuse.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::Verdict;
 use crate::nodes::SIGCONT;
 use crate::nodes::SIGSTOP;
-use crate::site::SERVICES;
 use crate::site::Site;
+use crate::site::SERVICES;
+use crate::Verdict;
 
 /// Length of the freeze; the site's `node_freeze` takes 3.5 s.
 const FROZEN: Duration = Duration::from_millis(3_400);
@@ -40,7 +40,8 @@
     let wait = |until: Instant| thread::sleep(until.saturating_duration_since(Instant::now()));
     for side in 0..ROUNDS {
         let frozen_at = Instant::now() + Duration::from_millis(500);
-        let traffic = site.start_traffic(format!("round-{side}"), REQUESTS_PER_S, Instant::now() + ROUND);
+        let traffic =
+            site.start_traffic(format!("round-{side}"), REQUESTS_PER_S, Instant::now() + ROUND);
         let name = site.sides[side].node.name.clone();
         wait(frozen_at);
         if has_trouble {
@@ -66,7 +67,8 @@
     thread::sleep(Duration::from_secs(2));
     let broken = site.record_wrong_services()?;
     site.record_requests();
-    let text = format!("{broken} requests were run by a service to which their route does not lead");
+    let text =
+        format!("{broken} requests were run by a service to which their route does not lead");
     site.record.line(&text);
     Ok(Verdict { is_kept: broken == 0, text })
 }
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -6,11 +6,11 @@
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::net::UdpSocket;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,10 +18,10 @@
 use std::time::UNIX_EPOCH;
 
 use crate::http;
+use crate::packet::Packet;
 use crate::packet::ACK;
 use crate::packet::BOUNCED;
 use crate::packet::FIN;
-use crate::packet::Packet;
 use crate::packet::RST;
 use crate::packet::SYN;
 use crate::record::Record;
@@ -92,6 +92,8 @@
     /// Clients' ends of the flows that are open here.
     pub held: Held,
     ends_checks: Arc<AtomicBool>,
+    /// Address that the pings go to.
+    control: Arc<Mutex<SocketAddrV4>>,
     threads: Vec<thread::JoinHandle<()>>,
 }
 
@@ -118,7 +120,8 @@
         threads.push(thread::spawn(move || {
             let has_to_listen = || {
                 let is_draining = draining.load(Ordering::Relaxed);
-                !stopped.load(Ordering::Relaxed) && !(ends_checks_at_drain.load(Ordering::Relaxed) && is_draining)
+                !stopped.load(Ordering::Relaxed)
+                    && !(ends_checks_at_drain.load(Ordering::Relaxed) && is_draining)
             };
             while has_to_listen() {
                 match listener.accept() {
@@ -130,7 +133,8 @@
                             let _ = stream.set_nonblocking(false);
                             let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
                             if stream.read(&mut [0; 1_024]).is_ok_and(|length| length > 0) {
-                                let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+                                let answer =
+                                    format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
                                 let _ = stream.write_all(answer.as_bytes());
                             }
                         });
@@ -150,7 +154,9 @@
             held: Arc::clone(&held),
         };
         threads.push(thread::spawn(move || serving.run()));
+        let control = Arc::new(Mutex::new(plan.control));
         let pings = Pings {
+            control: Arc::clone(&control),
             plan,
             id: id.clone(),
             born,
@@ -160,13 +166,18 @@
             record,
         };
         thread::spawn(move || pings.run());
-        Server { id, stop, is_draining, drain_confirmed_ms, held, ends_checks, threads }
+        Server { id, stop, is_draining, drain_confirmed_ms, held, ends_checks, control, threads }
     }
 
     pub fn is_drain_confirmed(&self) -> bool {
         self.drain_confirmed_ms.load(Ordering::Relaxed) > 0
     }
 
+    /// Sends the further pings to this address.
+    pub fn ping_through(&self, address: SocketAddrV4) {
+        *self.control.lock().unwrap() = address;
+    }
+
     /// Sets whether the server takes no further connections for status checks once it drains.
     pub fn set_ends_checks(&self, ends_checks: bool) {
         self.ends_checks.store(ends_checks, Ordering::Relaxed);
@@ -202,6 +213,7 @@
 }
 
 struct Pings {
+    control: Arc<Mutex<SocketAddrV4>>,
     plan: ServerPlan,
     id: String,
     born: u64,
@@ -232,13 +244,21 @@
             );
             let path = format!("/v1/Instances.Heartbeat/{}", self.id);
             let sent = Instant::now();
-            let answer = http::call(self.plan.control, "POST", &path, &body, Duration::from_secs(1));
+            let control = *self.control.lock().unwrap();
+            let answer = http::call(control, "POST", &path, &body, Duration::from_secs(1));
             let status = answer.map_or("no answer".to_owned(), |(status, _)| status.to_string());
             if seq <= 3 || status != "200" {
-                self.record.line_at(sent, &format!("ping {seq} of {} ({}): {status}", self.id, self.plan.service));
+                self.record.line_at(
+                    sent,
+                    &format!("ping {seq} of {} ({}): {status}", self.id, self.plan.service),
+                );
             }
-            if is_draining && status == "200" && self.drain_confirmed_ms.load(Ordering::Relaxed) == 0 {
-                self.drain_confirmed_ms.store(started.elapsed().as_millis().max(1) as u64, Ordering::Relaxed);
+            if is_draining
+                && status == "200"
+                && self.drain_confirmed_ms.load(Ordering::Relaxed) == 0
+            {
+                self.drain_confirmed_ms
+                    .store(started.elapsed().as_millis().max(1) as u64, Ordering::Relaxed);
                 self.record.line(&format!("draining of {} confirmed", self.id));
             }
             self.pause(self.plan.heartbeat.saturating_sub(sent.elapsed()), is_draining);
@@ -278,7 +298,8 @@
         let mut buffer = [0; 4_096];
         while !self.stop.load(Ordering::Relaxed) {
             let now = Instant::now();
-            let (done, rest): (Vec<_>, Vec<_>) = working.drain(..).partition(|(end, ..)| *end <= now);
+            let (done, rest): (Vec<_>, Vec<_>) =
+                working.drain(..).partition(|(end, ..)| *end <= now);
             working = rest;
             for (_, key, id) in done {
                 self.answer(&mut flows, &key, &id);
@@ -302,11 +323,31 @@
                     next_seq = next_seq.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
                     let (service, server) = (self.plan.service.clone(), self.plan.name.clone());
                     let (route, client) = (packet.dst, packet.src);
-                    self.ledger.lock().unwrap().taken.push(Taken { at: Instant::now(), service, server, route, client });
-                    Flow { seq: next_seq, is_open: false, received: packet.seq, sent: next_seq, answers: Vec::new(), has_ended: false }
+                    self.ledger.lock().unwrap().taken.push(Taken {
+                        at: Instant::now(),
+                        service,
+                        server,
+                        route,
+                        client,
+                    });
+                    Flow {
+                        seq: next_seq,
+                        is_open: false,
+                        received: packet.seq,
+                        sent: next_seq,
+                        answers: Vec::new(),
+                        has_ended: false,
+                    }
                 });
                 if !flow.is_open {
-                    self.send(&Packet::new(packet.dst, packet.src, flow.seq, packet.seq, SYN | ACK, &[]));
+                    self.send(&Packet::new(
+                        packet.dst,
+                        packet.src,
+                        flow.seq,
+                        packet.seq,
+                        SYN | ACK,
+                        &[],
+                    ));
                 }
                 continue;
             }
@@ -354,7 +395,14 @@
             if packet.is(FIN) {
                 flow.has_ended = true;
                 self.held.lock().unwrap().remove(&key.0);
-                self.send(&Packet::new(packet.dst, packet.src, flow.sent, flow.received, FIN | ACK, &[]));
+                self.send(&Packet::new(
+                    packet.dst,
+                    packet.src,
+                    flow.sent,
+                    flow.received,
+                    FIN | ACK,
+                    &[],
+                ));
             }
         }
     }
@@ -368,7 +416,8 @@
     fn answer(&self, flows: &mut HashMap<Key, Flow>, key: &Key, id: &str) {
         let Some(flow) = flows.get_mut(key) else { return };
         let body = format!("{id} by {} of {}", self.plan.name, self.plan.service);
-        let close = if self.is_draining.load(Ordering::Relaxed) { "Connection: close\r\n" } else { "" };
+        let close =
+            if self.is_draining.load(Ordering::Relaxed) { "Connection: close\r\n" } else { "" };
         let text = format!(
             "HTTP/1.1 200 OK\r\nX-Response-Stamp: {}\r\n{close}Content-Length: {}\r\n\r\n{body}",
             self.plan.service,
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -1,10 +1,10 @@
 //! A small deployment: store, front nodes, nodes beside servers, servers, clients.
 
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -13,11 +13,11 @@
 use crate::client::Clients;
 use crate::client::Outcome;
 use crate::client::Routers;
+use crate::nodes::Network;
+use crate::nodes::Node;
 use crate::nodes::APP;
 use crate::nodes::CONTROL;
 use crate::nodes::DATA;
-use crate::nodes::Network;
-use crate::nodes::Node;
 use crate::nodes::OUTBOUND;
 use crate::nodes::READY;
 use crate::nodes::STORE;
@@ -62,7 +62,9 @@
         )
     };
     let service = |(name, _): &(&str, u8)| {
-        format!(r#"{{"name":"{name}","max_conns":2000,"cold_per_s":{cold_per_s},"health_path":"/health"}}"#)
+        format!(
+            r#"{{"name":"{name}","max_conns":2000,"cold_per_s":{cold_per_s},"health_path":"/health"}}"#
+        )
     };
     let routes: Vec<String> = SERVICES.iter().map(route).collect();
     let services: Vec<String> = SERVICES.iter().map(service).collect();
@@ -75,11 +77,17 @@
 
 impl Site {
     /// Starts all, with these sides: zone and service of each by index. Waits until requests are answered.
-    pub fn start(folder: &str, fronts: &[usize], sides: &[(usize, usize)], cold_per_s: u32) -> Result<Site, String> {
+    pub fn start(
+        folder: &str,
+        fronts: &[usize],
+        sides: &[(usize, usize)],
+        cold_per_s: u32,
+    ) -> Result<Site, String> {
         let network = Network::find().ok_or("no free loopback network")?;
         let temporary = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).map_err(|error| error.to_string())?;
-        let record = Record::new(&format!("{folder}/record.txt")).map_err(|error| error.to_string())?;
+        let record =
+            Record::new(&format!("{folder}/record.txt")).map_err(|error| error.to_string())?;
         let (record, ledger) = (Arc::new(record), Arc::new(Mutex::new(Ledger::default())));
         let stop = Arc::new(AtomicBool::new(false));
         let store = Store::start(network.at(1, STORE)).map_err(|error| error.to_string())?;
@@ -100,7 +108,8 @@
         let addresses = (0..fronts.len()).map(front_host);
         let addresses = addresses.map(|host| (network.at(host, DATA), network.at(host, READY)));
         let routers = Routers::start(addresses.collect(), Arc::clone(&stop));
-        let clients = Clients::start(network.at(101, DATA), Arc::clone(&routers), Arc::clone(&stop));
+        let clients =
+            Clients::start(network.at(101, DATA), Arc::clone(&routers), Arc::clone(&stop));
         let mut site = Site {
             network,
             record,
@@ -124,7 +133,8 @@
         }
         thread::sleep(Duration::from_secs(2));
         for try_number in 0.. {
-            let ids: Vec<String> = (0..8).map(|index| format!("warm-{try_number}-{index}")).collect();
+            let ids: Vec<String> =
+                (0..8).map(|index| format!("warm-{try_number}-{index}")).collect();
             for (index, id) in ids.iter().enumerate() {
                 site.request(index % 2, id);
             }
@@ -145,7 +155,13 @@
     }
 
     /// Starts a server beside a node. `first_ping` is the time from its start to its first ping.
-    pub fn start_server(&mut self, side: usize, service: usize, first_ping: Duration, cold: Duration) {
+    pub fn start_server(
+        &mut self,
+        side: usize,
+        service: usize,
+        first_ping: Duration,
+        cold: Duration,
+    ) {
         let (host, zone) = (self.sides[side].host, self.sides[side].zone);
         let plan = ServerPlan {
             name: format!("{}-{host}", SERVICES[service].0),
@@ -191,7 +207,8 @@
     pub fn record_wrong_services(&self) -> Result<usize, String> {
         let ledger = self.ledger.lock().unwrap();
         let allowed = |route| {
-            let leads_here = |(_, number): &&(&str, u8)| self.network.at(200 + number, 443) == route;
+            let leads_here =
+                |(_, number): &&(&str, u8)| self.network.at(200 + number, 443) == route;
             let service = SERVICES.iter().find(leads_here);
             service.map(|(name, _)| *name).ok_or("a packet to no route".to_owned())
         };
@@ -227,7 +244,9 @@
             let by: Vec<String> = runs
                 .iter()
                 .filter(|run| run.id == attempt.id)
-                .map(|run| format!("{} at +{} ms", run.server, (run.at - attempt.sent_at).as_millis()))
+                .map(|run| {
+                    format!("{} at +{} ms", run.server, (run.at - attempt.sent_at).as_millis())
+                })
                 .collect();
             let text = format!(
                 "request {} to {}: {:?}, run by {:?}, answer {:?}",
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -140,7 +140,8 @@
             call.get("precondition").list().iter().all(|row| {
                 let current = data.items.get(row.get("key").text());
                 let current = current.filter(|(value, ..)| value.is_some());
-                current.map_or(0, |(_, revision, _)| *revision) as f64 == row.get("revision").number()
+                current.map_or(0, |(_, revision, _)| *revision) as f64
+                    == row.get("revision").number()
             })
         };
         if !holds {
